--- /dev/null
+++ b/apps/lagoonwindd/main.cc
@@ -0,0 +1,49 @@
+#include <glog/logging.h>
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "lagoonwind/runtime.h"
+
+namespace {
+
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+
+int Run(const cxxopts::ParseResult& options) {
+  const auto settings = lagoonwind::runtime::LoadSettings(options["settings"].as<std::string>());
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return kExitRefused;
+  }
+  if (options["check"].as<bool>()) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  return lagoonwind::runtime::RunDaemon(*settings);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  cxxopts::Options options("lagoonwindd", "A daemon of the lagoonwind router fleet.");
+  options.add_options()("settings", "TOML settings file", cxxopts::value<std::string>())(
+      "check", "check the settings and exit", cxxopts::value<bool>())("help", "print this help");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (parsed.count("settings") == 0) {
+      std::cerr << "--settings FILE is missing\n" << options.help();
+      return kExitUsage;
+    }
+    return Run(parsed);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << error.what() << "\n" << options.help();
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/examples/01-local-fleet/main.cc
@@ -0,0 +1,67 @@
+#include <csignal>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "fleet.h"
+#include "lagoonwind/rules.h"
+
+/// Starts the local fleet of docs/OPERATING.md, and stops it when asked to.
+namespace {
+
+using lagoonwind::testing::Fleet;
+using lagoonwind::testing::LocalFleetOptions;
+
+std::string ReadFile(const std::filesystem::path& path) {
+  std::ostringstream text;
+  text << std::ifstream(path).rdbuf();
+  return text.str();
+}
+
+/// Writes fleet.json last and at once, so that its presence means that the fleet is up.
+void WriteDescription(const Fleet& fleet, const std::string& rules,
+                      const std::filesystem::path& work) {
+  std::ofstream(work / "rules.txt") << rules;
+  nlohmann::json description = fleet.Describe();
+  description["rules"] = (work / "rules.txt").string();
+  for (const auto& [id, customer] : lagoonwind::ParseRules(rules).configuration.customers) {
+    description["tokens"][customer.name] = "token-" + customer.name;
+  }
+  std::ofstream(work / "fleet.json.partial") << description.dump(2) << "\n";
+  std::filesystem::rename(work / "fleet.json.partial", work / "fleet.json");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("local_fleet", "Runs the local fleet until SIGTERM or SIGINT.");
+  options.add_options()("programs", "directory of the programs", cxxopts::value<std::string>())(
+      "work", "directory for its files", cxxopts::value<std::string>())(
+      "rules", "rules file", cxxopts::value<std::string>());
+  const auto parsed = options.parse(argc, argv);
+  sigset_t stop;
+  sigemptyset(&stop);
+  sigaddset(&stop, SIGTERM);
+  sigaddset(&stop, SIGINT);
+  const auto rules = ReadFile(parsed["rules"].as<std::string>());
+  const std::filesystem::path work = parsed["work"].as<std::string>();
+  try {
+    Fleet fleet(LocalFleetOptions(parsed["programs"].as<std::string>(), work, rules));
+    fleet.AwaitReady();
+    WriteDescription(fleet, rules, work);
+    std::cout << "the local fleet is up; " << (work / "fleet.json").string() << " describes it\n"
+              << std::flush;
+    sigprocmask(SIG_BLOCK, &stop, nullptr);
+    int signal = 0;
+    sigwait(&stop, &signal);
+    const bool clean = fleet.Drain();
+    std::cout << (clean ? "the local fleet has drained\n" : "a daemon didn't drain cleanly\n");
+    return clean ? 0 : 1;
+  } catch (const std::exception& error) {
+    std::cerr << "local_fleet: " << error.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/packages/backend/include/lagoonwind/backend.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "lagoonwind/http.h"
+
+/// \file
+/// Backend servers: model engines that stream, and plain services.
+namespace lagoonwind::backend {
+
+enum class BackendKind { kModelEngine, kPlainService };
+
+/// A call as the backend server gets it.
+struct Call {
+  std::string method;
+  std::string path;
+  std::string content_type;
+  std::string body;
+  /// Identity of the attempt, for the backend server's own records.
+  std::string request_id;
+  std::string customer;
+  std::string idempotency_key;
+};
+
+struct AnswerHead {
+  unsigned status = 0;
+  std::string content_type;
+};
+
+/// How a call ended.
+enum class CallResult {
+  /// The whole answer arrived.
+  kComplete,
+  /// The backend server never got the call, or refused it before it ran.
+  kNotRun,
+  /// The call may have run; its answer is cut or absent.
+  kUnknown,
+  kCancelled,
+};
+
+/// Receives an answer as it arrives. Called from one thread at a time.
+class AnswerSink {
+ public:
+  virtual ~AnswerSink() = default;
+  virtual void OnHead(const AnswerHead& head) = 0;
+  /// \param data    Bytes that continue the answer.
+  /// \param tokens  Tokens generated since the last call.
+  virtual void OnData(std::string_view data, std::uint32_t tokens) = 0;
+  /// True once nobody needs the rest; the call is then broken off.
+  [[nodiscard]] virtual bool cancelled() const = 0;
+};
+
+/// What a backend server says of itself; it lags.
+struct Health {
+  std::uint64_t instance = 0;
+  /// Names of the models or services that it runs.
+  std::vector<std::string> targets;
+  std::uint32_t running = 0;
+};
+
+/// One backend server. Thread safe.
+class Backend {
+ public:
+  virtual ~Backend() = default;
+  /// Runs a call and feeds its answer to `sink`, which must outlive the call.
+  virtual http::asio::awaitable<CallResult> Run(Call call, AnswerSink& sink) = 0;
+  virtual http::asio::awaitable<absl::StatusOr<Health>> Observe() = 0;
+};
+
+/// Client of a backend server over HTTP/1.1.
+/// \param address  `HOST:PORT`.
+std::unique_ptr<Backend> MakeHttpBackend(BackendKind kind, std::string address);
+
+}  // namespace lagoonwind::backend
--- /dev/null
+++ b/packages/policy/src/blackboard.cc
@@ -0,0 +1,58 @@
+#include "blackboard.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::policy {
+
+void DecisionRing::Add(Decision decision) {
+  if (decisions_.size() == limits::kDecisionRingSize) {
+    decisions_.pop_front();
+  }
+  decisions_.push_back(decision);
+}
+
+std::vector<Decision> DecisionRing::About(RequestId request, CustomerId customer,
+                                          MemberId member) const {
+  std::vector<Decision> found;
+  const auto matches = [&](const Decision& decision) {
+    return (request.entry.valid() && decision.request == request) ||
+           (customer.valid() && decision.customer == customer) ||
+           (member.valid() && decision.member == member);
+  };
+  std::ranges::copy_if(decisions_, std::back_inserter(found), matches);
+  return found;
+}
+
+bool Blackboard::Linked(MemberId member) const {
+  const auto found = members.find(member);
+  return found != members.end() && found->second.linked;
+}
+
+bool Blackboard::Closed() const { return draining || configuration->ZoneOut(zone); }
+
+std::uint32_t Blackboard::Room() const {
+  const auto used = static_cast<std::uint32_t>(running.size() + grants.size());
+  if (Closed() || !backend.reachable || used >= backend.window) {
+    return 0;
+  }
+  return backend.window - used;
+}
+
+bool Blackboard::Serves(TargetId target) const {
+  const TargetRule* rule = configuration->Target(target);
+  if (rule == nullptr || !std::ranges::count(backend.targets, target)) {
+    return false;
+  }
+  return rule->backend_tag.empty() || std::ranges::count(init.tags, rule->backend_tag) > 0;
+}
+
+void Blackboard::Record(Decision decision) {
+  decision.at = now;
+  decisions.Add(decision);
+}
+
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/policy/src/controller.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "blackboard.h"
+#include "lagoonwind/policy.h"
+
+namespace lagoonwind::policy {
+
+/// Actions of one step, in order.
+class ActionList {
+ public:
+  template <class ActionType>
+  void Add(ActionType action) {
+    actions_.emplace_back(std::move(action));
+  }
+  std::vector<Action> Take() { return std::exchange(actions_, {}); }
+
+ private:
+  std::vector<Action> actions_;
+};
+
+/// One part of the decisions. Controllers only meet on the blackboard.
+/// Not thread safe: the policy calls one controller at a time, in a fixed order.
+class Controller {
+ public:
+  virtual ~Controller() = default;
+  /// Takes in one event. Every controller sees every event.
+  virtual void OnEvent(const Event& event, Blackboard& board, ActionList& actions);
+  /// Decides, after all events of the step.
+  virtual void Update(Blackboard& board, ActionList& actions);
+};
+
+// Both roles.
+std::unique_ptr<Controller> MakeConfigurationController();
+std::unique_ptr<Controller> MakeMembershipController();
+// Entry.
+std::unique_ptr<Controller> MakeRetryController();
+std::unique_ptr<Controller> MakeRoutingController();
+// Agent.
+std::unique_ptr<Controller> MakeWarmUpController();
+std::unique_ptr<Controller> MakeFairShareController();
+std::unique_ptr<Controller> MakeAdmissionController();
+std::unique_ptr<Controller> MakeReportController();
+
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/policy/src/policy.cc
@@ -0,0 +1,116 @@
+#include "lagoonwind/policy.h"
+
+#include <absl/container/btree_map.h>
+
+#include <array>
+#include <utility>
+
+#include "blackboard.h"
+#include "controller.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+using ControllerList = std::vector<std::unique_ptr<Controller>>;
+
+ControllerList EntryControllers() {
+  ControllerList list;
+  list.push_back(MakeConfigurationController());
+  list.push_back(MakeMembershipController());
+  list.push_back(MakeRetryController());
+  list.push_back(MakeRoutingController());
+  return list;
+}
+
+ControllerList AgentControllers() {
+  ControllerList list;
+  list.push_back(MakeConfigurationController());
+  list.push_back(MakeMembershipController());
+  list.push_back(MakeWarmUpController());
+  list.push_back(MakeFairShareController());
+  list.push_back(MakeAdmissionController());
+  list.push_back(MakeReportController());
+  return list;
+}
+
+/// Runs the controllers of one role over one blackboard.
+class BlackboardPolicy final : public Policy {
+ public:
+  BlackboardPolicy(const Init& init, ControllerList controllers)
+      : controllers_(std::move(controllers)) {
+    board_.init = init;
+    board_.self = HandleOf<MemberId>(init.name);
+    board_.zone = HandleOf<ZoneId>(init.zone);
+  }
+
+  std::vector<Action> Step(Time now, std::span<const Event> events) override {
+    board_.now = now;
+    for (const auto& event : events) {
+      for (const auto& controller : controllers_) {
+        controller->OnEvent(event, board_, actions_);
+      }
+    }
+    for (const auto& controller : controllers_) {
+      controller->Update(board_, actions_);
+    }
+    return actions_.Take();
+  }
+
+  [[nodiscard]] Stats stats() const override {
+    Stats stats = board_.counters;
+    stats.configuration_offset = board_.configuration->offset;
+    stats.draining = board_.draining;
+    stats.window = board_.backend.window;
+    FillCustomers(stats);
+    for (const auto& [id, state] : board_.members) {
+      stats.members.push_back(MemberStats{.member = state.member, .linked = state.linked});
+    }
+    return stats;
+  }
+
+  [[nodiscard]] std::vector<Decision> Explain(RequestId request, CustomerId customer,
+                                              MemberId member) const override {
+    return board_.decisions.About(request, customer, member);
+  }
+
+ private:
+  void FillCustomers(Stats& stats) const {
+    absl::btree_map<CustomerId, CustomerStats> rows;
+    for (const auto& [id, request] : board_.requests) {
+      auto& row = rows[request.traits.customer];
+      ++(request.phase == RequestPhase::kRunning ? row.running : row.waiting);
+    }
+    for (const auto& [id, attempt] : board_.running) {
+      ++rows[attempt.traits.customer].running;
+    }
+    for (const auto& [key, demand] : board_.demand) {
+      rows[key.customer].waiting += demand.count;
+    }
+    for (const auto& [customer, service] : board_.service) {
+      rows[customer].service = service;
+    }
+    for (auto& [customer, row] : rows) {
+      row.customer = customer;
+      stats.running += row.running;
+      stats.waiting += row.waiting;
+      stats.customers.push_back(row);
+    }
+  }
+
+  Blackboard board_;
+  ControllerList controllers_;
+  ActionList actions_;
+};
+
+}  // namespace
+
+void Controller::OnEvent(const Event& /*event*/, Blackboard& /*board*/, ActionList& /*actions*/) {}
+
+void Controller::Update(Blackboard& /*board*/, ActionList& /*actions*/) {}
+
+std::unique_ptr<Policy> MakePolicy(const Init& init) {
+  return std::make_unique<BlackboardPolicy>(
+      init, init.role == Role::kEntry ? EntryControllers() : AgentControllers());
+}
+
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/policy/src/report_controller.cc
@@ -0,0 +1,57 @@
+#include <algorithm>
+#include <iterator>
+#include <optional>
+
+#include "controller.h"
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+/// Tells entries what this agent serves and how much room it has.
+class ReportController final : public Controller {
+ public:
+  void OnEvent(const Event& event, Blackboard& /*board*/, ActionList& /*actions*/) override {
+    if (std::holds_alternative<LinkUp>(event)) {
+      last_.reset();
+    }
+  }
+
+  void Update(Blackboard& board, ActionList& actions) override {
+    AgentReport report = Current(board);
+    if (last_ && !Urgent(report) && (report == *last_ || board.now < next_)) {
+      return;
+    }
+    next_ = board.now + limits::kAgentReportInterval;
+    actions.Add(SendAgentReport{.report = report});
+    last_ = std::move(report);
+  }
+
+ private:
+  static AgentReport Current(const Blackboard& board) {
+    AgentReport report{.window = board.backend.window,
+                       .draining = board.Closed(),
+                       .configuration_offset = board.configuration->offset};
+    std::ranges::copy_if(board.backend.targets, std::back_inserter(report.targets),
+                         [&](TargetId target) { return board.Serves(target); });
+    const bool waiting = std::ranges::any_of(
+        board.demand, [](const auto& item) { return item.second.count > item.second.granted; });
+    report.free = waiting ? 0 : board.Room();
+    return report;
+  }
+
+  /// Changes that entries must know at once.
+  [[nodiscard]] bool Urgent(const AgentReport& report) const {
+    return report.targets != last_->targets || report.draining != last_->draining ||
+           (report.free > 0) != (last_->free > 0);
+  }
+
+  std::optional<AgentReport> last_;
+  Time next_;
+};
+
+}  // namespace
+
+std::unique_ptr<Controller> MakeReportController() { return std::make_unique<ReportController>(); }
+
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/rules/src/rules.cc
@@ -0,0 +1,292 @@
+#include "lagoonwind/rules.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <optional>
+#include <ranges>
+
+namespace lagoonwind {
+namespace {
+
+constexpr std::size_t kSha256HexDigits = 64;
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::uint32_t kMaxShare = 1'000'000;
+constexpr std::uint32_t kMaxQueue = 1'000'000;
+constexpr std::string_view kTokenPrefix = "sha256:";
+constexpr std::string_view kTagPrefix = "tag:";
+constexpr std::string_view kAskedBy = "asked by:";
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r";
+  const auto first = text.find_first_not_of(kBlank);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
+}
+
+std::vector<std::string_view> Words(std::string_view text) {
+  std::vector<std::string_view> words;
+  while (!(text = Trim(text)).empty()) {
+    const auto end = std::min(text.find_first_of(" \t"), text.size());
+    words.push_back(text.substr(0, end));
+    text.remove_prefix(end);
+  }
+  return words;
+}
+
+bool IsName(std::string_view word) {
+  const auto allowed = [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+  };
+  return !word.empty() && word.size() <= kMaxNameLength && std::ranges::all_of(word, allowed);
+}
+
+bool IsSha256(std::string_view word) {
+  const auto hex = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+  return word.size() == kSha256HexDigits && std::ranges::all_of(word, hex);
+}
+
+std::optional<std::uint32_t> ParseNumber(std::string_view word, std::uint32_t least,
+                                         std::uint32_t most) {
+  std::uint32_t value = 0;
+  const auto* const last = word.data() + word.size();
+  const auto [end, error] = std::from_chars(word.data(), last, value);
+  if (error != std::errc{} || end != last || value < least || value > most) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<std::chrono::seconds> ParseWindow(std::string_view word) {
+  if (word.size() < 2) {
+    return std::nullopt;
+  }
+  constexpr std::uint32_t kMostUnits = 10'000;
+  const auto count = ParseNumber(word.substr(0, word.size() - 1), 1, kMostUnits);
+  if (!count) {
+    return std::nullopt;
+  }
+  switch (word.back()) {
+    case 's':
+      return std::chrono::seconds(*count);
+    case 'm':
+      return std::chrono::minutes(*count);
+    case 'h':
+      return std::chrono::hours(*count);
+    default:
+      return std::nullopt;
+  }
+}
+
+/// Parses the rules of one file, line by line, collecting faults.
+class Parser {
+ public:
+  ParsedRules Run(std::string_view text) {
+    result_.configuration.text = std::string(text);
+    for (line_ = 1; !text.empty(); ++line_) {
+      const auto end = std::min(text.find('\n'), text.size());
+      ParseLine(text.substr(0, end));
+      text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return std::move(result_);
+  }
+
+ private:
+  void Fail(std::string what) {
+    result_.errors.push_back(RuleError{.line = line_, .what = std::move(what)});
+  }
+
+  void ParseLine(std::string_view line) {
+    const auto hash = line.find('#');
+    const auto rule = Trim(line.substr(0, hash));
+    if (rule.empty()) {
+      return;
+    }
+    const auto comment =
+        hash == std::string_view::npos ? std::string_view{} : Trim(line.substr(hash + 1));
+    if (!comment.starts_with(kAskedBy) || Trim(comment.substr(kAskedBy.size())).empty()) {
+      Fail("the rule doesn't say who asked for it; end the line with '# asked by: NAME'");
+    }
+    ParseRule(Words(rule));
+  }
+
+  void ParseRule(std::span<const std::string_view> words) {
+    const auto kind = words.front();
+    if (kind != "customer" && kind != "zone" && kind != "service" && kind != "model") {
+      Fail(absl::StrFormat("unknown rule '%s'; allowed are customer, zone, service, model", kind));
+      return;
+    }
+    if (words.size() < 2 || !IsName(words[1])) {
+      Fail(absl::StrFormat("%s without a valid name; a name has up to %d of a-z 0-9 - _ .", kind,
+                           kMaxNameLength));
+      return;
+    }
+    const auto options = words.subspan(2);
+    if (kind == "customer") {
+      ParseCustomer(words[1], options);
+    } else if (kind == "zone") {
+      ParseZone(words[1], options);
+    } else {
+      ParseTarget(words[1], kind == "model", options);
+    }
+  }
+
+  void ParseCustomer(std::string_view name, std::span<const std::string_view> options) {
+    CustomerRule rule{.name = std::string(name)};
+    if (options.size() % 2 != 0) {
+      Fail("a customer option has no value; allowed are share N, token sha256:HEX, queue N");
+      return;
+    }
+    for (; !options.empty(); options = options.subspan(2)) {
+      ParseCustomerOption(options[0], options[1], rule);
+    }
+    if (rule.token_sha256.empty()) {
+      Fail("a customer needs a token; write token sha256:HEX");
+      return;
+    }
+    Insert(result_.configuration.customers, HandleOf<CustomerId>(name), std::move(rule));
+  }
+
+  void ParseCustomerOption(std::string_view key, std::string_view value, CustomerRule& rule) {
+    if (key == "share" || key == "queue") {
+      const std::uint32_t most = key == "share" ? kMaxShare : kMaxQueue;
+      const auto number = ParseNumber(value, 1, most);
+      if (!number) {
+        Fail(absl::StrFormat("%s '%s' isn't valid; allowed is 1 to %d", key, value, most));
+        return;
+      }
+      (key == "share" ? rule.share : rule.queue) = *number;
+    } else if (key == "token") {
+      if (!value.starts_with(kTokenPrefix) || !IsSha256(value.substr(kTokenPrefix.size()))) {
+        Fail("token isn't valid; allowed is sha256: and 64 lower-case hexadecimal digits");
+        return;
+      }
+      rule.token_sha256 = std::string(value.substr(kTokenPrefix.size()));
+    } else {
+      Fail(absl::StrFormat("unknown customer option '%s'; allowed are share, token, queue", key));
+    }
+  }
+
+  void ParseZone(std::string_view name, std::span<const std::string_view> options) {
+    if (options.size() != 1 || (options[0] != "in" && options[0] != "out")) {
+      Fail("a zone rule needs its state; allowed are in, out");
+      return;
+    }
+    Insert(result_.configuration.zones, HandleOf<ZoneId>(name),
+           ZoneRule{.name = std::string(name), .out = options[0] == "out"});
+  }
+
+  void ParseTarget(std::string_view name, bool is_model,
+                   std::span<const std::string_view> options) {
+    TargetRule rule{.name = std::string(name), .is_model = is_model};
+    while (!options.empty()) {
+      const std::size_t used = ParseTargetOption(options, rule);
+      if (used == 0) {
+        return;
+      }
+      options = options.subspan(used);
+    }
+    Insert(result_.configuration.targets, HandleOf<TargetId>(name), std::move(rule));
+  }
+
+  /// Returns how many words the option took, 0 after a fault.
+  std::size_t ParseTargetOption(std::span<const std::string_view> options, TargetRule& rule) {
+    const auto key = options[0];
+    if (key == "repeatable") {
+      return 1;
+    }
+    if (key == "once" && !rule.is_model) {
+      return ParseOnce(options, rule);
+    }
+    if (key == "backends" && options.size() >= 2 && options[1].starts_with(kTagPrefix) &&
+        IsName(options[1].substr(kTagPrefix.size()))) {
+      rule.backend_tag = std::string(options[1].substr(kTagPrefix.size()));
+      return 2;
+    }
+    Fail(absl::StrFormat(
+        "option '%s' isn't valid here; allowed are backends tag:NAME and, for a service, "
+        "repeatable or once window DURATION",
+        key));
+    return 0;
+  }
+
+  std::size_t ParseOnce(std::span<const std::string_view> options, TargetRule& rule) {
+    constexpr std::size_t kWords = 3;
+    const auto window =
+        options.size() >= kWords && options[1] == "window" ? ParseWindow(options[2]) : std::nullopt;
+    if (!window) {
+      Fail("once needs window DURATION; a duration is a number and s, m or h");
+      return 0;
+    }
+    rule.repeatability = Repeatability::kOnce;
+    rule.window = *window;
+    return kWords;
+  }
+
+  template <class Key, class Rule>
+  void Insert(std::map<Key, Rule>& rules, Key key, Rule rule) {
+    const std::string name = rule.name;
+    if (!rules.try_emplace(key, std::move(rule)).second) {
+      Fail(absl::StrFormat("'%s' has a rule already; allowed is one rule for each name", name));
+    }
+  }
+
+  int line_ = 0;
+  ParsedRules result_;
+};
+
+bool ConstantTimeEqual(std::string_view left, std::string_view right) {
+  if (left.size() != right.size()) {
+    return false;
+  }
+  unsigned difference = 0;
+  for (std::size_t i = 0; i < left.size(); ++i) {
+    difference |= static_cast<unsigned char>(left[i]) ^ static_cast<unsigned char>(right[i]);
+  }
+  return difference == 0;
+}
+
+}  // namespace
+
+const CustomerRule* Configuration::CustomerByToken(std::string_view digest) const {
+  const CustomerRule* found = nullptr;
+  for (const auto& [id, rule] : customers) {
+    if (ConstantTimeEqual(rule.token_sha256, digest)) {
+      found = &rule;
+    }
+  }
+  return found;
+}
+
+bool Configuration::ZoneOut(ZoneId zone) const {
+  const auto found = zones.find(zone);
+  return found != zones.end() && found->second.out;
+}
+
+const TargetRule* Configuration::Target(TargetId target) const {
+  const auto found = targets.find(target);
+  return found == targets.end() ? nullptr : &found->second;
+}
+
+std::uint32_t Configuration::Share(CustomerId customer) const {
+  const auto found = customers.find(customer);
+  return found == customers.end() ? 1 : found->second.share;
+}
+
+ParsedRules ParseRules(std::string_view text) { return Parser().Run(text); }
+
+std::string FormatRuleErrors(std::string_view file, std::span<const RuleError> errors) {
+  std::string out;
+  for (const auto& error : errors) {
+    absl::StrAppendFormat(&out, "%s:%d: %s\n", file, error.line, error.what);
+  }
+  return out;
+}
+
+}  // namespace lagoonwind
--- /dev/null
+++ b/packages/runtime/src/agent_daemon.cc
@@ -0,0 +1,185 @@
+#include <absl/container/flat_hash_map.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <iterator>
+#include <mutex>
+
+#include "attempt_run.h"
+#include "daemon.h"
+#include "lagoonwind/backend.h"
+#include "lagoonwind/limits.h"
+#include "lagoonwind/wire.h"
+
+namespace lagoonwind::runtime {
+namespace {
+
+namespace asio = http::asio;
+
+backend::BackendKind KindOf(const Settings& settings) {
+  return settings.backend_is_model ? backend::BackendKind::kModelEngine
+                                   : backend::BackendKind::kPlainService;
+}
+
+policy::RequestTraits TraitsOf(const wire::gen::Offer& offer) {
+  return policy::RequestTraits{.customer = {static_cast<std::uint64_t>(offer.customer)},
+                               .target = {static_cast<std::uint64_t>(offer.target)},
+                               .cost_hint = offer.cost_hint,
+                               .digest = {static_cast<std::uint64_t>(offer.digest)},
+                               .repeatable = offer.repeatable,
+                               .key = {static_cast<std::uint64_t>(offer.key)}};
+}
+
+/// Owns one backend server; talks to entries. Its mutex is a leaf of the lock order.
+class AgentDaemon final : public RoleDaemon {
+ public:
+  explicit AgentDaemon(const DaemonContext& context)
+      : context_(context),
+        backend_(
+            backend::MakeHttpBackend(KindOf(context.settings), context.settings.backend_address)) {}
+
+  absl::Status Start() override {
+    asio::co_spawn(context_.io, ObserveBackend(), asio::detached);
+    return absl::OkStatus();
+  }
+
+  void Execute(const policy::Action& action) override {
+    if (const auto* start = std::get_if<policy::StartAttempt>(&action)) {
+      Run(start->attempt);
+    } else if (const auto* queue = std::get_if<policy::QueueAttempt>(&action)) {
+      Forget(queue->attempt);
+      wire::Message message;
+      message.__set_queued({});
+      message.queued.attempt = wire::ToWire(queue->attempt);
+      context_.links.Send(queue->entry, message);
+    } else if (const auto* refuse = std::get_if<policy::RefuseAttempt>(&action)) {
+      Refuse(*refuse);
+    } else if (const auto* cancel = std::get_if<policy::CancelAttempt>(&action)) {
+      if (const auto run = Find(cancel->attempt)) {
+        run->Cancel();
+      }
+    } else if (const auto* grant = std::get_if<policy::SendGrant>(&action)) {
+      Send(*grant);
+    } else if (const auto* report = std::get_if<policy::SendAgentReport>(&action)) {
+      wire::Message message;
+      message.__set_agent_report(wire::ToWire(report->report));
+      context_.links.Broadcast(policy::Role::kEntry, message);
+    }
+  }
+
+  void OnMessage(MemberId from, wire::Message message) override {
+    if (message.__isset.offer) {
+      OnOffer(from, std::move(message.offer));
+    } else if (message.__isset.cancel) {
+      context_.policy.Post(
+          policy::CancelReceived{.attempt = wire::FromWire(message.cancel.attempt)});
+    } else if (message.__isset.demand) {
+      context_.policy.Post(
+          policy::DemandReported{.entry = from, .demand = wire::FromWire(message.demand)});
+    } else if (message.__isset.decline) {
+      context_.policy.Post(policy::GrantDeclined{
+          .entry = from, .grant = {static_cast<std::uint64_t>(message.decline.id)}});
+    }
+  }
+
+  [[nodiscard]] bool Idle() const override {
+    const std::scoped_lock lock(mutex_);
+    return runs_.empty();
+  }
+
+  [[nodiscard]] std::string caller_address() const override { return {}; }
+
+ private:
+  void OnOffer(MemberId from, wire::gen::Offer offer) {
+    policy::OfferReceived event{.entry = from,
+                                .attempt = wire::FromWire(offer.attempt),
+                                .traits = TraitsOf(offer),
+                                .grant = {static_cast<std::uint64_t>(offer.grant)}};
+    auto run = std::make_shared<AttemptRun>(context_, from, std::move(offer));
+    {
+      const std::scoped_lock lock(mutex_);
+      if (!runs_.try_emplace(event.attempt, std::move(run)).second) {
+        return;
+      }
+    }
+    context_.policy.Post(event);
+  }
+
+  void Run(AttemptId id) {
+    const auto run = Find(id);
+    if (run == nullptr) {
+      return;
+    }
+    asio::co_spawn(
+        asio::make_strand(context_.io),
+        [this, run]() -> asio::awaitable<void> {
+          co_await run->Run(*backend_);
+          Forget(run->id());
+        },
+        asio::detached);
+  }
+
+  void Refuse(const policy::RefuseAttempt& refuse) {
+    Forget(refuse.attempt);
+    wire::Message message;
+    message.__set_ended({});
+    message.ended.attempt = wire::ToWire(refuse.attempt);
+    message.ended.result = static_cast<std::int32_t>(policy::AttemptResult::kNotRun);
+    message.ended.reason = static_cast<std::int32_t>(refuse.reason);
+    context_.links.Send(refuse.entry, message);
+  }
+
+  void Send(const policy::SendGrant& grant) {
+    wire::Message message;
+    message.__set_grant({});
+    message.grant.id = static_cast<std::int64_t>(grant.grant.value);
+    message.grant.customer = static_cast<std::int64_t>(grant.customer.value);
+    message.grant.target = static_cast<std::int64_t>(grant.target.value);
+    context_.links.Send(grant.entry, message);
+  }
+
+  std::shared_ptr<AttemptRun> Find(AttemptId id) const {
+    const std::scoped_lock lock(mutex_);
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? nullptr : found->second;
+  }
+
+  void Forget(AttemptId id) {
+    const std::scoped_lock lock(mutex_);
+    runs_.erase(id);
+  }
+
+  asio::awaitable<void> ObserveBackend() {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;;) {
+      const auto health = co_await backend_->Observe();
+      policy::BackendObserved event{.reachable = health.ok()};
+      if (health.ok()) {
+        event.instance = health->instance;
+        event.running = health->running;
+        std::ranges::transform(health->targets, std::back_inserter(event.targets),
+                               [](const std::string& name) { return HandleOf<TargetId>(name); });
+      }
+      context_.policy.Post(std::move(event));
+      timer.expires_after(limits::kBackendPollInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+
+  DaemonContext context_;
+  std::unique_ptr<backend::Backend> backend_;
+
+  mutable std::mutex mutex_;
+  absl::flat_hash_map<AttemptId, std::shared_ptr<AttemptRun>> runs_;
+};
+
+}  // namespace
+
+std::unique_ptr<RoleDaemon> MakeAgentDaemon(const DaemonContext& context) {
+  return std::make_unique<AgentDaemon>(context);
+}
+
+}  // namespace lagoonwind::runtime
--- /dev/null
+++ b/packages/runtime/src/async_queue.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include "lagoonwind/http.h"
+
+namespace lagoonwind::runtime {
+
+/// Queue between any threads and one coroutine. Hold it as a shared_ptr.
+template <class T>
+class AsyncQueue : public std::enable_shared_from_this<AsyncQueue<T>> {
+ public:
+  /// \param executor  The strand of the coroutine that pops.
+  explicit AsyncQueue(http::asio::any_io_executor executor)
+      : executor_(std::move(executor)), wake_(executor_) {}
+
+  /// Adds an item. Thread safe.
+  void Push(T item) {
+    {
+      const std::scoped_lock lock(mutex_);
+      items_.push_back(std::move(item));
+    }
+    http::asio::post(executor_, [self = this->shared_from_this()] { self->wake_.cancel(); });
+  }
+
+  /// Takes the oldest item, waiting for one. Only from the coroutine on the queue's strand.
+  http::asio::awaitable<T> Pop() {
+    for (;;) {
+      {
+        const std::scoped_lock lock(mutex_);
+        if (!items_.empty()) {
+          T item = std::move(items_.front());
+          items_.pop_front();
+          co_return item;
+        }
+      }
+      boost::system::error_code ignored;
+      wake_.expires_at(http::asio::steady_timer::time_point::max());
+      co_await wake_.async_wait(http::asio::redirect_error(http::asio::use_awaitable, ignored));
+    }
+  }
+
+ private:
+  http::asio::any_io_executor executor_;
+  http::asio::steady_timer wake_;
+  std::mutex mutex_;
+  std::deque<T> items_;
+};
+
+}  // namespace lagoonwind::runtime
--- /dev/null
+++ b/packages/runtime/src/attempt_run.cc
@@ -0,0 +1,120 @@
+#include "attempt_run.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace lagoonwind::runtime {
+namespace {
+
+using backend::CallResult;
+
+/// Bytes of a prompt that count as one token, for engines that don't report them.
+constexpr double kBytesPerToken = 4;
+/// Service of one token read, in units of service; a generated token is one unit.
+constexpr double kInputTokenService = 0.1;
+/// Service of one second on a plain service, in units of service.
+constexpr double kSecondService = 100;
+
+policy::AttemptResult ResultOf(CallResult result) {
+  switch (result) {
+    case CallResult::kComplete:
+      return policy::AttemptResult::kComplete;
+    case CallResult::kNotRun:
+      return policy::AttemptResult::kNotRun;
+    case CallResult::kUnknown:
+    case CallResult::kCancelled:
+      return policy::AttemptResult::kUnknown;
+  }
+  return policy::AttemptResult::kUnknown;
+}
+
+policy::Reason ReasonOf(CallResult result) {
+  switch (result) {
+    case CallResult::kComplete:
+      return policy::Reason::kNone;
+    case CallResult::kNotRun:
+      return policy::Reason::kBackendRefused;
+    case CallResult::kUnknown:
+      return policy::Reason::kBackendFailed;
+    case CallResult::kCancelled:
+      return policy::Reason::kCallerLeft;
+  }
+  return policy::Reason::kNone;
+}
+
+}  // namespace
+
+AttemptRun::AttemptRun(const DaemonContext& context, MemberId entry, wire::gen::Offer offer)
+    : context_(context),
+      entry_(entry),
+      offer_(std::move(offer)),
+      id_(wire::FromWire(offer_.attempt)) {}
+
+http::asio::awaitable<void> AttemptRun::Run(backend::Backend& backend) {
+  started_ = std::chrono::steady_clock::now();
+  wire::Message message;
+  message.__set_started({});
+  message.started.attempt = offer_.attempt;
+  context_.links.Send(entry_, message);
+  if (context_.settings.backend_is_model) {
+    Charge(kInputTokenService * static_cast<double>(offer_.body.size()) / kBytesPerToken);
+  }
+  backend::Call call{.method = offer_.method,
+                     .path = offer_.path,
+                     .content_type = offer_.content_type,
+                     .body = std::move(offer_.body),
+                     .request_id = FormatRequestId(id_.request),
+                     .customer = offer_.customer_name,
+                     .idempotency_key = offer_.idempotency_key};
+  const CallResult result = co_await backend.Run(std::move(call), *this);
+  if (!context_.settings.backend_is_model) {
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - started_;
+    Charge(kSecondService * took.count());
+  }
+  End(result);
+}
+
+void AttemptRun::OnHead(const backend::AnswerHead& head) {
+  wire::Message message;
+  message.__set_head({});
+  message.head.attempt = offer_.attempt;
+  message.head.status = static_cast<std::int32_t>(head.status);
+  message.head.content_type = head.content_type;
+  context_.links.Send(entry_, message);
+  context_.policy.Post(policy::AnswerStarted{.attempt = id_});
+}
+
+void AttemptRun::OnData(std::string_view data, std::uint32_t tokens) {
+  wire::Message message;
+  message.__set_chunk({});
+  message.chunk.attempt = offer_.attempt;
+  message.chunk.offset = static_cast<std::int64_t>(sent_);
+  message.chunk.data = std::string(data);
+  sent_ += data.size();
+  context_.links.Send(entry_, message);
+  if (tokens > 0) {
+    Charge(tokens);
+  }
+}
+
+void AttemptRun::Charge(double service) {
+  context_.policy.Post(policy::ServiceAccrued{.attempt = id_, .service = service});
+  context_.metrics.ServiceCharged(offer_.customer_name, service);
+}
+
+void AttemptRun::End(CallResult result) {
+  wire::Message message;
+  message.__set_ended({});
+  message.ended.attempt = offer_.attempt;
+  message.ended.result = static_cast<std::int32_t>(ResultOf(result));
+  message.ended.reason = static_cast<std::int32_t>(ReasonOf(result));
+  message.ended.length = static_cast<std::int64_t>(sent_);
+  context_.links.Send(entry_, message);
+  context_.policy.Post(policy::AttemptFinished{
+      .attempt = id_, .result = ResultOf(result), .reason = ReasonOf(result)});
+  LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
+            << " customer=" << offer_.customer_name << " reason=" << policy::Name(ReasonOf(result));
+}
+
+}  // namespace lagoonwind::runtime
--- /dev/null
+++ b/packages/runtime/src/attempt_run.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+
+#include "daemon.h"
+#include "lagoonwind/backend.h"
+
+namespace lagoonwind::runtime {
+
+/// One attempt on the agent's backend server: passes the answer on to the entry and charges its
+/// service as it accrues.
+class AttemptRun final : public backend::AnswerSink {
+ public:
+  /// \param entry  Where the answer goes.
+  /// \param offer  The request as the entry sent it.
+  AttemptRun(const DaemonContext& context, MemberId entry, wire::gen::Offer offer);
+
+  [[nodiscard]] AttemptId id() const { return id_; }
+  [[nodiscard]] MemberId entry() const { return entry_; }
+
+  /// Breaks the run off at its next part. Thread safe.
+  void Cancel() { cancelled_ = true; }
+  /// Runs the attempt to its end and tells the entry and the decisions. Call once.
+  http::asio::awaitable<void> Run(backend::Backend& backend);
+
+  void OnHead(const backend::AnswerHead& head) override;
+  void OnData(std::string_view data, std::uint32_t tokens) override;
+  [[nodiscard]] bool cancelled() const override { return cancelled_; }
+
+ private:
+  void Charge(double service);
+  void End(backend::CallResult result);
+
+  DaemonContext context_;
+  MemberId entry_;
+  wire::gen::Offer offer_;
+  AttemptId id_;
+  std::atomic<bool> cancelled_{false};
+  std::uint64_t sent_ = 0;
+  std::chrono::steady_clock::time_point started_;
+};
+
+}  // namespace lagoonwind::runtime
--- /dev/null
+++ b/packages/runtime/src/daemon.cc
@@ -0,0 +1,200 @@
+#include "daemon.h"
+
+#include <glog/logging.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <vector>
+
+#include "digest.h"
+#include "lagoonwind/limits.h"
+#include "operator_port.h"
+
+namespace lagoonwind::runtime {
+namespace {
+
+namespace asio = http::asio;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr std::chrono::milliseconds kDrainPollInterval{50};
+
+Incarnation NewIncarnation() {
+  std::uint64_t value = 0;
+  const std::string bytes = RandomBytes(sizeof(value));
+  std::memcpy(&value, bytes.data(), sizeof(value));
+  return Incarnation{value | 1U};
+}
+
+policy::Init InitOf(const Settings& settings, Incarnation incarnation) {
+  return policy::Init{.role = settings.role,
+                      .name = settings.name,
+                      .zone = settings.zone,
+                      .incarnation = incarnation,
+                      .seed = incarnation.value,
+                      .tags = settings.backend_tags};
+}
+
+LinkOptions LinkOptionsOf(const Settings& settings, Incarnation incarnation) {
+  return LinkOptions{.name = settings.name,
+                     .role = settings.role,
+                     .zone = settings.zone,
+                     .incarnation = incarnation,
+                     .key = settings.link_key};
+}
+
+/// One daemon: its threads, ports, platform clients and role.
+class Daemon {
+ public:
+  explicit Daemon(const Settings& settings)
+      : settings_(settings),
+        incarnation_(NewIncarnation()),
+        signals_(io_, SIGTERM, SIGINT),
+        link_acceptor_(io_),
+        operator_acceptor_(io_),
+        log_(platform::MakeHttpLogService(settings.platform_address)),
+        hosts_(platform::MakeHttpHostList(settings.platform_address)),
+        policy_(io_, policy::MakePolicy(InitOf(settings, incarnation_))),
+        links_(io_, LinkOptionsOf(settings, incarnation_), policy_),
+        configuration_(*log_, policy_),
+        context_{.settings = settings_,
+                 .incarnation = incarnation_,
+                 .io = io_,
+                 .policy = policy_,
+                 .links = links_,
+                 .configuration = configuration_,
+                 .log = *log_,
+                 .metrics = metrics_},
+        role_(settings.role == policy::Role::kEntry ? MakeEntryDaemon(context_)
+                                                    : MakeAgentDaemon(context_)),
+        operator_port_(context_) {}
+
+  int Run() {
+    const absl::Status started = Start();
+    if (!started.ok()) {
+      LOG(ERROR) << "event=start_failed reason=\"" << started.message() << "\"";
+      return kExitFailed;
+    }
+    std::vector<std::jthread> pool;
+    for (int i = 1; i < settings_.threads; ++i) {
+      pool.emplace_back([this] { io_.run(); });
+    }
+    io_.run();
+    LOG(INFO) << "event=stopped name=" << settings_.name;
+    return kExitOk;
+  }
+
+ private:
+  absl::Status Start() {
+    links_.Start(*role_);
+    policy_.Start([this](const policy::Action& action) { Execute(action); });
+    absl::Status status = Open(link_acceptor_, settings_.link_listen);
+    if (status.ok()) {
+      status = Open(operator_acceptor_, settings_.operator_listen);
+    }
+    if (status.ok()) {
+      status = role_->Start();
+    }
+    if (!status.ok()) {
+      return status;
+    }
+    asio::co_spawn(io_, links_.Accept(link_acceptor_), asio::detached);
+    asio::co_spawn(io_, ServeOperators(), asio::detached);
+    asio::co_spawn(io_, configuration_.Tail(), asio::detached);
+    asio::co_spawn(io_, FollowHostList(), asio::detached);
+    asio::co_spawn(io_, AwaitSignal(), asio::detached);
+    return WriteAddresses();
+  }
+
+  static absl::Status Open(http::Tcp::acceptor& acceptor, const std::string& address) {
+    const auto endpoint = http::ParseEndpoint(address);
+    return endpoint.ok() ? http::Listen(acceptor, *endpoint) : endpoint.status();
+  }
+
+  absl::Status WriteAddresses() const {
+    const nlohmann::json addresses{
+        {"links", http::FormatEndpoint(link_acceptor_.local_endpoint())},
+        {"operator", http::FormatEndpoint(operator_acceptor_.local_endpoint())},
+        {"callers", role_->caller_address()}};
+    LOG(INFO) << "event=started name=" << settings_.name << " addresses=" << addresses.dump();
+    if (settings_.address_file.empty()) {
+      return absl::OkStatus();
+    }
+    const std::string partial = settings_.address_file + ".partial";
+    std::ofstream(partial) << addresses.dump() << "\n";
+    std::error_code error;
+    std::filesystem::rename(partial, settings_.address_file, error);
+    return error ? absl::UnavailableError("can't write " + settings_.address_file)
+                 : absl::OkStatus();
+  }
+
+  void Execute(const policy::Action& action) {
+    if (const auto* open = std::get_if<policy::OpenLink>(&action)) {
+      links_.Open(open->member);
+    } else if (const auto* close = std::get_if<policy::CloseLink>(&action)) {
+      links_.Close(close->member);
+    } else {
+      role_->Execute(action);
+    }
+  }
+
+  asio::awaitable<void> ServeOperators() {
+    const http::Handler handler = [this](http::Request request) {
+      return operator_port_.Handle(std::move(request));
+    };
+    co_await http::Serve(operator_acceptor_, handler, limits::kMaxBodyBytes);
+  }
+
+  asio::awaitable<void> FollowHostList() {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;;) {
+      auto members = co_await hosts_->Read();
+      if (members.ok()) {
+        policy_.Post(policy::MembersListed{.members = *std::move(members)});
+      }
+      timer.expires_after(limits::kHostListPollInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+
+  asio::awaitable<void> AwaitSignal() {
+    co_await signals_.async_wait(asio::use_awaitable);
+    LOG(INFO) << "event=draining name=" << settings_.name;
+    policy_.Post(policy::DrainRequested{});
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    do {
+      timer.expires_after(kDrainPollInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+    } while (!role_->Idle());
+    io_.stop();
+  }
+
+  Settings settings_;
+  Incarnation incarnation_;
+  asio::io_context io_;
+  asio::signal_set signals_;
+  http::Tcp::acceptor link_acceptor_;
+  http::Tcp::acceptor operator_acceptor_;
+  std::unique_ptr<platform::LogService> log_;
+  std::unique_ptr<platform::HostList> hosts_;
+  Metrics metrics_;
+  PolicyHost policy_;
+  LinkManager links_;
+  ConfigurationStore configuration_;
+  DaemonContext context_;
+  std::unique_ptr<RoleDaemon> role_;
+  OperatorPort operator_port_;
+};
+
+}  // namespace
+
+int RunDaemon(const Settings& settings) { return Daemon(settings).Run(); }
+
+}  // namespace lagoonwind::runtime
--- /dev/null
+++ b/packages/runtime/src/link_manager.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <mutex>
+
+#include "lagoonwind/policy.h"
+#include "link.h"
+#include "policy_host.h"
+
+namespace lagoonwind::runtime {
+
+/// Receives messages of established links. Several links call at a time.
+class MessageHandler {
+ public:
+  virtual ~MessageHandler() = default;
+  virtual void OnMessage(MemberId from, wire::Message message) = 0;
+};
+
+/// Options of a LinkManager.
+struct LinkOptions {
+  std::string name;
+  policy::Role role = policy::Role::kEntry;
+  std::string zone;
+  Incarnation incarnation;
+  std::string key;
+};
+
+/// Opens, accepts and keeps the links of a process; at most one to each member, the newest wins.
+/// Posts LinkUp and LinkDown, in the order of the table's changes. Lock order: its mutex before the
+/// inbox of PolicyHost.
+class LinkManager final : public LinkHandler {
+ public:
+  LinkManager(http::asio::io_context& io, LinkOptions options, PolicyHost& policy);
+
+  /// Sets who receives messages. Call once, before any link is open.
+  void Start(MessageHandler& handler) { handler_ = &handler; }
+  /// Accepts links until the acceptor is closed.
+  http::asio::awaitable<void> Accept(http::Tcp::acceptor& acceptor);
+  /// Opens a link and opens it again whenever it breaks. Thread safe.
+  void Open(const policy::Member& member);
+  /// Closes the link to a member and stops opening it. Thread safe.
+  void Close(MemberId member);
+  /// Sends to a member; drops the message if there is no link. Thread safe.
+  void Send(MemberId member, const wire::Message& message);
+  /// Sends to every linked member of a role. Thread safe.
+  void Broadcast(policy::Role role, const wire::Message& message);
+
+  void OnLinkMessage(Link& link, wire::Message message) override;
+
+ private:
+  struct Established {
+    std::shared_ptr<Link> link;
+    policy::Role role = policy::Role::kEntry;
+  };
+
+  http::asio::awaitable<void> KeepOpen(policy::Member member);
+  http::asio::awaitable<void> Serve(http::Tcp::socket socket);
+  http::asio::awaitable<void> RunLink(std::shared_ptr<Link> link, std::string address);
+  void Register(const std::shared_ptr<Link>& link, const wire::gen::Hello& hello,
+                const std::string& address);
+  void Unregister(const std::shared_ptr<Link>& link);
+  [[nodiscard]] bool Wanted(const policy::Member& member) const;
+  [[nodiscard]] wire::gen::Hello OwnHello() const;
+
+  http::asio::io_context& io_;
+  LinkOptions options_;
+  PolicyHost& policy_;
+  MessageHandler* handler_ = nullptr;
+
+  mutable std::mutex mutex_;
+  absl::flat_hash_map<MemberId, Established> links_;
+  /// Address at which each wanted member is opened.
+  absl::flat_hash_map<MemberId, std::string> wanted_;
+};
+
+}  // namespace lagoonwind::runtime
--- /dev/null
+++ b/packages/runtime/src/policy_host.cc
@@ -0,0 +1,75 @@
+#include "policy_host.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::runtime {
+namespace {
+
+namespace asio = http::asio;
+
+Time Now() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+}  // namespace
+
+PolicyHost::PolicyHost(asio::io_context& io, std::unique_ptr<policy::Policy> policy)
+    : strand_(asio::make_strand(io)), policy_(std::move(policy)) {}
+
+void PolicyHost::Start(ActionHandler handler) {
+  handler_ = std::move(handler);
+  asio::co_spawn(strand_, RunTimer(), asio::detached);
+}
+
+void PolicyHost::Post(policy::Event event) {
+  {
+    const std::scoped_lock lock(inbox_mutex_);
+    inbox_.push_back(std::move(event));
+    if (std::exchange(frame_scheduled_, true)) {
+      return;
+    }
+  }
+  asio::post(strand_, [this] { RunFrame(); });
+}
+
+policy::Stats PolicyHost::stats() const {
+  const std::scoped_lock lock(step_mutex_);
+  return policy_->stats();
+}
+
+std::vector<policy::Decision> PolicyHost::Explain(RequestId request, CustomerId customer,
+                                                  MemberId member) const {
+  const std::scoped_lock lock(step_mutex_);
+  return policy_->Explain(request, customer, member);
+}
+
+asio::awaitable<void> PolicyHost::RunTimer() {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  for (;;) {
+    timer.expires_after(limits::kStepInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    RunFrame();
+  }
+}
+
+void PolicyHost::RunFrame() {
+  std::vector<policy::Event> events;
+  {
+    const std::scoped_lock lock(inbox_mutex_);
+    events.swap(inbox_);
+    frame_scheduled_ = false;
+  }
+  std::vector<policy::Action> actions;
+  {
+    const std::scoped_lock lock(step_mutex_);
+    actions = policy_->Step(Now(), events);
+  }
+  for (const auto& action : actions) {
+    handler_(action);
+  }
+}
+
+}  // namespace lagoonwind::runtime
--- /dev/null
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -0,0 +1,138 @@
+namespace cpp lagoonwind.wire.gen
+
+// One try at running a request.
+struct Attempt {
+  1: i64 entry_incarnation
+  2: i64 number
+  3: i32 attempt
+}
+
+// First message in both directions of a link.
+struct Hello {
+  1: i32 protocol
+  2: string name
+  3: i32 role
+  4: string zone
+  5: i64 incarnation
+  6: i64 configuration_offset
+  // Random bytes that the other side must prove the shared key on.
+  7: binary nonce
+  8: string address
+}
+
+// Second message in both directions: HMAC over both nonces and the sender's name.
+struct Proof {
+  1: binary mac
+}
+
+struct Ping {
+  1: i64 configuration_offset
+}
+
+// A process is about to leave.
+struct Leaving {
+}
+
+// A request with its body, entry to agent.
+struct Offer {
+  1: Attempt attempt
+  2: i64 customer
+  3: i64 target
+  4: double cost_hint
+  5: i64 digest
+  6: bool repeatable
+  7: i64 key
+  // 0 without a grant.
+  8: i64 grant
+  9: string method
+  10: string path
+  11: string content_type
+  12: binary body
+  13: string customer_name
+  14: string idempotency_key
+}
+
+// The attempt hasn't started and the agent has forgotten it.
+struct Queued {
+  1: Attempt attempt
+}
+
+struct Started {
+  1: Attempt attempt
+}
+
+// Head of the backend server's answer.
+struct Head {
+  1: Attempt attempt
+  2: i32 status
+  3: string content_type
+}
+
+struct Chunk {
+  1: Attempt attempt
+  // Bytes of the answer before this chunk.
+  2: i64 offset
+  3: binary data
+}
+
+// Last message of an attempt.
+struct End {
+  1: Attempt attempt
+  2: i32 result
+  3: i32 reason
+  // Bytes of the whole answer.
+  4: i64 length
+}
+
+struct Cancel {
+  1: Attempt attempt
+}
+
+struct DemandItem {
+  1: i64 customer
+  2: i64 target
+  3: i32 count
+  4: i64 oldest_age_us
+  5: i32 reach
+}
+
+struct Demand {
+  1: list<DemandItem> items
+}
+
+struct Grant {
+  1: i64 id
+  2: i64 customer
+  3: i64 target
+}
+
+struct Decline {
+  1: i64 id
+}
+
+struct AgentReport {
+  1: list<i64> targets
+  2: i32 free
+  3: i32 window
+  4: bool draining
+  5: i64 configuration_offset
+}
+
+// One frame on a link. Numbers of fields are never used again.
+union Message {
+  1: Hello hello
+  2: Proof proof
+  3: Ping ping
+  4: Leaving leaving
+  5: Offer offer
+  6: Queued queued
+  7: Started started
+  8: Head head
+  9: Chunk chunk
+  10: End ended
+  11: Cancel cancel
+  12: Demand demand
+  13: Grant grant
+  14: Decline decline
+  15: AgentReport agent_report
+}
--- /dev/null
+++ b/packages/wire/include/lagoonwind/wire.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+#include <lagoonwind_types.h>
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "lagoonwind/base.h"
+#include "lagoonwind/policy.h"
+
+/// \file
+/// Messages between daemons: Thrift compact encoding inside length-prefixed frames.
+namespace lagoonwind::wire {
+
+/// Version of the protocol; a link between different versions is refused.
+inline constexpr std::int32_t kProtocolVersion = 1;
+/// Bytes of the big-endian length before each frame.
+inline constexpr std::size_t kFrameHeaderBytes = 4;
+
+using Message = gen::Message;
+
+/// Encodes a message as one frame, its length included. Thread safe.
+std::string EncodeFrame(const Message& message);
+
+/// Length of the frame body that a header announces. Thread safe.
+/// \param header  Exactly kFrameHeaderBytes bytes.
+/// \return Invalid argument if the frame is larger than limits::kMaxFrameBytes.
+absl::StatusOr<std::size_t> DecodeFrameLength(std::string_view header);
+
+/// Decodes the body of a frame. Thread safe.
+/// \return Invalid argument if the bytes are no message.
+absl::StatusOr<Message> DecodeBody(std::string_view body);
+
+// Conversions between messages and the typed values of decisions. All thread safe.
+
+gen::Attempt ToWire(const AttemptId& attempt);
+AttemptId FromWire(const gen::Attempt& attempt);
+gen::Demand ToWire(std::span<const policy::Demand> demand);
+std::vector<policy::Demand> FromWire(const gen::Demand& demand);
+gen::AgentReport ToWire(const policy::AgentReport& report);
+policy::AgentReport FromWire(const gen::AgentReport& report);
+/// Values outside the enumeration give kUnknown and kNone.
+policy::AttemptResult ResultFromWire(std::int32_t value);
+policy::Reason ReasonFromWire(std::int32_t value);
+
+}  // namespace lagoonwind::wire
--- /dev/null
+++ b/packages/wire/src/wire.cc
@@ -0,0 +1,142 @@
+#include "lagoonwind/wire.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::wire {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr unsigned kByteBits = 8;
+
+std::int64_t Signed(std::uint64_t value) { return static_cast<std::int64_t>(value); }
+std::uint64_t Unsigned(std::int64_t value) { return static_cast<std::uint64_t>(value); }
+
+std::uint32_t Count(std::int32_t value) { return static_cast<std::uint32_t>(std::max(value, 0)); }
+
+void WriteHeader(std::size_t length, std::string& frame) {
+  for (std::size_t i = 0; i < kFrameHeaderBytes; ++i) {
+    frame[kFrameHeaderBytes - 1 - i] = static_cast<char>(length >> (kByteBits * i));
+  }
+}
+
+}  // namespace
+
+std::string EncodeFrame(const Message& message) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  std::string frame(kFrameHeaderBytes, '\0');
+  message.write(&protocol);
+  buffer->appendBufferToString(frame);
+  WriteHeader(frame.size() - kFrameHeaderBytes, frame);
+  return frame;
+}
+
+absl::StatusOr<std::size_t> DecodeFrameLength(std::string_view header) {
+  std::size_t length = 0;
+  for (const char byte : header) {
+    length = (length << kByteBits) | static_cast<unsigned char>(byte);
+  }
+  if (length > limits::kMaxFrameBytes) {
+    return absl::InvalidArgumentError("frame is larger than the limit");
+  }
+  return length;
+}
+
+absl::StatusOr<Message> DecodeBody(std::string_view body) {
+  auto bytes = std::string(body);
+  auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(bytes.data()),
+                                                static_cast<std::uint32_t>(bytes.size()));
+  const auto limit = static_cast<std::int32_t>(limits::kMaxFrameBytes);
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer, limit, limit);
+  Message message;
+  try {
+    message.read(&protocol);
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+  return message;
+}
+
+gen::Attempt ToWire(const AttemptId& attempt) {
+  gen::Attempt out;
+  out.entry_incarnation = Signed(attempt.request.entry.value);
+  out.number = Signed(attempt.request.number);
+  out.attempt = static_cast<std::int32_t>(attempt.attempt);
+  return out;
+}
+
+AttemptId FromWire(const gen::Attempt& attempt) {
+  const RequestId request{.entry = {Unsigned(attempt.entry_incarnation)},
+                          .number = Unsigned(attempt.number)};
+  return AttemptId{.request = request, .attempt = Count(attempt.attempt)};
+}
+
+gen::Demand ToWire(std::span<const policy::Demand> demand) {
+  gen::Demand out;
+  std::ranges::transform(demand, std::back_inserter(out.items), [](const policy::Demand& from) {
+    gen::DemandItem item;
+    item.customer = Signed(from.customer.value);
+    item.target = Signed(from.target.value);
+    item.count = static_cast<std::int32_t>(from.count);
+    item.oldest_age_us = from.oldest_age.count();
+    item.reach = static_cast<std::int32_t>(from.reach);
+    return item;
+  });
+  return out;
+}
+
+std::vector<policy::Demand> FromWire(const gen::Demand& demand) {
+  std::vector<policy::Demand> out;
+  std::ranges::transform(demand.items, std::back_inserter(out), [](const gen::DemandItem& item) {
+    return policy::Demand{.customer = {Unsigned(item.customer)},
+                          .target = {Unsigned(item.target)},
+                          .count = Count(item.count),
+                          .oldest_age = Duration(std::max<std::int64_t>(item.oldest_age_us, 0)),
+                          .reach = std::max(Count(item.reach), 1U)};
+  });
+  return out;
+}
+
+gen::AgentReport ToWire(const policy::AgentReport& report) {
+  gen::AgentReport out;
+  std::ranges::transform(report.targets, std::back_inserter(out.targets),
+                         [](TargetId target) { return Signed(target.value); });
+  out.free = static_cast<std::int32_t>(report.free);
+  out.window = static_cast<std::int32_t>(report.window);
+  out.draining = report.draining;
+  out.configuration_offset = report.configuration_offset;
+  return out;
+}
+
+policy::AgentReport FromWire(const gen::AgentReport& report) {
+  policy::AgentReport out{.free = Count(report.free),
+                          .window = Count(report.window),
+                          .draining = report.draining,
+                          .configuration_offset = report.configuration_offset};
+  std::ranges::transform(report.targets, std::back_inserter(out.targets),
+                         [](std::int64_t target) { return TargetId{Unsigned(target)}; });
+  return out;
+}
+
+policy::AttemptResult ResultFromWire(std::int32_t value) {
+  using policy::AttemptResult;
+  const auto result = static_cast<AttemptResult>(value);
+  const bool known = result == AttemptResult::kComplete || result == AttemptResult::kNotRun;
+  return known ? result : AttemptResult::kUnknown;
+}
+
+policy::Reason ReasonFromWire(std::int32_t value) {
+  const bool known = value >= 0 && value <= static_cast<std::int32_t>(policy::Reason::kKeyExpired);
+  return known ? static_cast<policy::Reason>(value) : policy::Reason::kNone;
+}
+
+}  // namespace lagoonwind::wire
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter over the source files given, or all. scripts/build.sh must
+# have run. A file is checked again only if it, a header that it includes or the checks have changed;
+# LAGOONWIND_LINT_CACHE names the directory that remembers this.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ "$#" -gt 0 ]; then
+  files=("$@")
+else
+  mapfile -t files < <(git ls-files '*.h' '*.cc' | grep -v '/gen/')
+fi
+clang-format --dry-run --Werror "${files[@]}" || { echo "lint: run clang-format -i on the files above" >&2; exit 1; }
+# Clang 14 knows coroutines, but doesn't say so the way libstdc++ 12 and Boost 1.74 ask for it.
+export COROUTINES="--extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-Wno-unknown-warning-option"
+export CACHE=${LAGOONWIND_LINT_CACHE:-.cache/lint}
+mkdir -p "$CACHE"
+CHECKS=$(cat .clang-tidy scripts/lint.sh | sha256sum | cut -c1-64)
+DEPS=$(mktemp)
+trap 'rm -f "$DEPS"' EXIT
+ninja -C build -t deps >"$DEPS" 2>/dev/null || true
+export CHECKS DEPS
+# Prints the source file and the headers of this repository that it includes.
+inputs() {
+  awk -v want="$PWD/$1" -v top="$PWD/" '
+    /^[^ ].*: #deps/ { if (hit) exit; n = 0; hit = 0; next }
+    /^ / { sub(/^ +/, ""); if ($0 == want) hit = 1; if (index($0, top) == 1) list[n++] = $0 }
+    END { if (hit) for (i = 0; i < n; i++) print list[i]; else print want }' "$DEPS"
+}
+check() {
+  local key
+  key=$({ echo "$CHECKS $1"; inputs "$1" | xargs cat; } | sha256sum | cut -c1-64)
+  [ -e "$CACHE/$key" ] && return 0
+  # shellcheck disable=SC2086
+  if clang-tidy -p build --quiet $COROUTINES "$1" 2>/dev/null; then
+    touch "$CACHE/$key"
+  else
+    echo "lint: $1 failed" >&2
+    return 1
+  fi
+}
+export -f check inputs
+printf '%s\n' "${files[@]}" | { grep '\.cc$' || true; } | xargs -r -P "$(nproc)" -I{} bash -c 'check "$1"' _ {} ||
+  { echo "lint: clang-tidy found faults" >&2; exit 1; }
+echo "lint: clean"
--- /dev/null
+++ b/tests/standins/main.cc
@@ -0,0 +1,66 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "lagoonwind/limits.h"
+#include "standin.h"
+
+namespace {
+
+namespace http = lagoonwind::http;
+namespace standins = lagoonwind::standins;
+
+std::unique_ptr<standins::StandIn> Make(const cxxopts::ParseResult& options) {
+  const auto kind = options["kind"].as<std::string>();
+  if (kind == "platform") {
+    return standins::MakePlatform({.retain = options["retain"].as<std::size_t>()});
+  }
+  if (kind == "service") {
+    return standins::MakeService({.work = std::chrono::milliseconds(options["work-ms"].as<int>())});
+  }
+  return standins::MakeEngine({.rate = options["rate"].as<double>(),
+                               .bears = options["bears"].as<std::uint32_t>(),
+                               .cold_bears = options["cold-bears"].as<std::uint32_t>(),
+                               .warm_up = std::chrono::milliseconds(options["warm-ms"].as<int>())});
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("standin", "A stand-in of the platform or of a backend server.");
+  options.add_options()("kind", "platform, engine or service", cxxopts::value<std::string>())(
+      "listen", "IP:PORT", cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+      "address-file", "where the bound address is written", cxxopts::value<std::string>())(
+      "retain", "records kept of each stream",
+      cxxopts::value<std::size_t>()->default_value("1000000"))(
+      "work-ms", "time of a service's call", cxxopts::value<int>()->default_value("20"))(
+      "rate", "tokens a second of each request", cxxopts::value<double>()->default_value("200"))(
+      "bears", "requests that a warm engine bears",
+      cxxopts::value<std::uint32_t>()->default_value("8"))(
+      "cold-bears", "requests that a cold engine bears",
+      cxxopts::value<std::uint32_t>()->default_value("8"))(
+      "warm-ms", "time from cold to warm", cxxopts::value<int>()->default_value("0"));
+  const auto parsed = options.parse(argc, argv);
+  const auto standin = Make(parsed);
+  http::asio::io_context io;
+  http::Tcp::acceptor acceptor(io);
+  const auto endpoint = http::ParseEndpoint(parsed["listen"].as<std::string>());
+  const auto opened = endpoint.ok() ? http::Listen(acceptor, *endpoint) : endpoint.status();
+  if (!opened.ok()) {
+    std::cerr << opened.message() << "\n";
+    return 1;
+  }
+  const auto file = parsed["address-file"].as<std::string>();
+  std::ofstream(file + ".partial") << http::FormatEndpoint(acceptor.local_endpoint());
+  std::filesystem::rename(file + ".partial", file);
+  const http::Handler handler = [&](http::Request request) {
+    return standin->Handle(std::move(request));
+  };
+  http::asio::co_spawn(io, http::Serve(acceptor, handler, lagoonwind::limits::kMaxFrameBytes),
+                       http::asio::detached);
+  io.run();
+  return 0;
+}
--- /dev/null
+++ b/tests/standins/standin.cc
@@ -0,0 +1,104 @@
+#include "standin.h"
+
+#include <chrono>
+
+namespace lagoonwind::standins {
+namespace {
+
+namespace asio = http::asio;
+using nlohmann::json;
+
+std::int64_t UnixMicroseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+/// An answer that breaks the connection off before its first byte of body.
+http::Response Lost() {
+  http::Response response{.status = 200, .content_type = "text/plain"};
+  response.next_part = []() -> asio::awaitable<absl::StatusOr<std::string>> {
+    co_return absl::AbortedError("the answer is lost");
+  };
+  return response;
+}
+
+}  // namespace
+
+Faults ParseFaults(const std::string& body) {
+  const json faults = json::parse(body, nullptr, false);
+  if (!faults.is_object()) {
+    return {};
+  }
+  return Faults{.refuse = faults.value("refuse", false),
+                .hang = std::chrono::milliseconds(faults.value("hang_ms", 0)),
+                .lose_answers = faults.value("lose_answers", 0)};
+}
+
+http::Response Json(unsigned status, const json& body) {
+  return http::Response{.status = status, .content_type = "application/json", .body = body.dump()};
+}
+
+void StandIn::OnFault(const json& /*body*/) {}
+
+asio::awaitable<http::Response> StandIn::Handle(http::Request request) {
+  if (request.target == "/standin/fault") {
+    {
+      const std::scoped_lock lock(mutex_);
+      faults_ = ParseFaults(request.body);
+    }
+    OnFault(json::parse(request.body, nullptr, false));
+    co_return Json(200, json::object());
+  }
+  if (request.target.starts_with("/standin/")) {
+    co_return co_await Answer(std::move(request));
+  }
+  Faults faults;
+  {
+    const std::scoped_lock lock(mutex_);
+    faults = faults_;
+    if (faults_.lose_answers > 0) {
+      --faults_.lose_answers;
+    }
+  }
+  if (faults.refuse) {
+    co_return Json(503, {{"error", "refused by a fault"}});
+  }
+  if (faults.hang.count() > 0) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, faults.hang);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  http::Response response = co_await Answer(std::move(request));
+  if (faults.lose_answers > 0) {
+    co_return Lost();
+  }
+  co_return response;
+}
+
+std::size_t RunList::Start(const http::Request& request) {
+  const std::scoped_lock lock(mutex_);
+  runs_.push_back(RunRecord{.id = std::string(http::FindField(request.fields, "X-Request-Id")),
+                            .customer = std::string(http::FindField(request.fields, "X-Customer")),
+                            .key = std::string(http::FindField(request.fields, "Idempotency-Key")),
+                            .started = UnixMicroseconds()});
+  return runs_.size() - 1;
+}
+
+void RunList::Finish(std::size_t run) {
+  const std::scoped_lock lock(mutex_);
+  runs_[run].finished = UnixMicroseconds();
+}
+
+json RunList::ToJson() const {
+  const std::scoped_lock lock(mutex_);
+  json list = json::array();
+  for (const auto& run : runs_) {
+    list.push_back({{"id", run.id},
+                    {"customer", run.customer},
+                    {"key", run.key},
+                    {"started", run.started},
+                    {"finished", run.finished ? json(*run.finished) : json()}});
+  }
+  return json{{"runs", list}};
+}
+
+}  // namespace lagoonwind::standins
--- /dev/null
+++ b/tests/standins/standin.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lagoonwind/http.h"
+
+/// \file
+/// Stand-ins of the platform and of backend servers, for tests and the local fleet only.
+namespace lagoonwind::standins {
+
+/// Faults that POST /standin/fault sets.
+struct Faults {
+  bool refuse = false;
+  std::chrono::milliseconds hang{0};
+  int lose_answers = 0;
+};
+
+/// Parses the body of POST /standin/fault; unknown keys are ignored.
+Faults ParseFaults(const std::string& body);
+
+/// A server of its own, driven by requests. Thread safe.
+class StandIn {
+ public:
+  virtual ~StandIn() = default;
+  /// Applies the faults, then answers.
+  http::asio::awaitable<http::Response> Handle(http::Request request);
+
+ protected:
+  virtual http::asio::awaitable<http::Response> Answer(http::Request request) = 0;
+  /// Called after faults were set, with the body that set them.
+  virtual void OnFault(const nlohmann::json& body);
+
+ private:
+  std::mutex mutex_;
+  Faults faults_;
+};
+
+http::Response Json(unsigned status, const nlohmann::json& body);
+
+/// A run as GET /standin/runs reports it; times are Unix time in microseconds.
+struct RunRecord {
+  std::string id;
+  std::string customer;
+  std::string key;
+  std::int64_t started = 0;
+  std::optional<std::int64_t> finished;
+};
+
+/// Everything that a backend server ran. Thread safe.
+class RunList {
+ public:
+  /// Returns the number of the new run.
+  std::size_t Start(const http::Request& request);
+  void Finish(std::size_t run);
+  [[nodiscard]] nlohmann::json ToJson() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<RunRecord> runs_;
+};
+
+/// The append-only log and the host list.
+struct PlatformOptions {
+  /// Records of each stream that are kept.
+  std::size_t retain = 1'000'000;
+};
+std::unique_ptr<StandIn> MakePlatform(const PlatformOptions& options);
+
+struct EngineOptions {
+  std::vector<std::string> models{"crest"};
+  /// Tokens a second of each request.
+  double rate = 200;
+  /// Requests that a warm engine bears at a time; it crashes above.
+  std::uint32_t bears = 8;
+  /// Requests that it bears right after its start.
+  std::uint32_t cold_bears = 8;
+  /// Time in which the bearing grows from cold to warm.
+  std::chrono::milliseconds warm_up{0};
+};
+std::unique_ptr<StandIn> MakeEngine(const EngineOptions& options);
+
+struct ServiceOptions {
+  std::vector<std::string> services{"bookings"};
+  /// Time that each call takes.
+  std::chrono::milliseconds work{20};
+};
+std::unique_ptr<StandIn> MakeService(const ServiceOptions& options);
+
+}  // namespace lagoonwind::standins
--- /dev/null
+++ b/tests/support/process.cc
@@ -0,0 +1,71 @@
+#include "process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iterator>
+#include <stdexcept>
+#include <utility>
+
+namespace lagoonwind::testing {
+
+Process::Process(std::string name, std::vector<std::string> command,
+                 const std::filesystem::path& log)
+    : name_(std::move(name)) {
+  std::vector<char*> arguments;
+  std::ranges::transform(command, std::back_inserter(arguments),
+                         [](std::string& word) { return word.data(); });
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr mode_t kMode = 0644;
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int failed =
+      posix_spawn(&pid_, arguments.front(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failed != 0) {
+    throw std::runtime_error("can't start " + command.front());
+  }
+}
+
+Process::~Process() { Kill(); }
+
+Process::Process(Process&& other) noexcept
+    : name_(std::move(other.name_)), pid_(std::exchange(other.pid_, -1)) {}
+
+Process& Process::operator=(Process&& other) noexcept {
+  if (this != &other) {
+    Kill();
+    name_ = std::move(other.name_);
+    pid_ = std::exchange(other.pid_, -1);
+  }
+  return *this;
+}
+
+void Process::Signal(int signal) const {
+  if (running()) {
+    kill(pid_, signal);
+  }
+}
+
+int Process::Wait() {
+  constexpr int kSignalled = 128;
+  int status = 0;
+  if (!running() || waitpid(std::exchange(pid_, -1), &status, 0) < 0) {
+    return -1;
+  }
+  return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalled + WTERMSIG(status);
+}
+
+void Process::Kill() {
+  Signal(SIGKILL);
+  Wait();
+}
+
+}  // namespace lagoonwind::testing
--- /dev/null
+++ b/tests/unit/policy_test.cc
@@ -0,0 +1,131 @@
+#include "lagoonwind/policy.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "naive_scheduler.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+const CustomerId kErie = HandleOf<CustomerId>("erie");
+const CustomerId kHuron = HandleOf<CustomerId>("huron");
+const TargetId kCrest = HandleOf<TargetId>("crest");
+const MemberId kEntry = HandleOf<MemberId>("entry");
+
+std::shared_ptr<const Configuration> Rules() {
+  const std::string digest(64, 'a');
+  auto parsed = ParseRules("customer erie share 2 token sha256:" + digest +
+                           " # asked by: a\ncustomer huron share 1 token sha256:" + digest +
+                           " # asked by: b\nmodel crest # asked by: c\n");
+  parsed.configuration.offset = 0;
+  return std::make_shared<const Configuration>(std::move(parsed.configuration));
+}
+
+template <class ActionType>
+const ActionType* Find(const std::vector<Action>& actions) {
+  for (const auto& action : actions) {
+    if (const auto* found = std::get_if<ActionType>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+Time At(std::int64_t milliseconds) { return Time(std::chrono::milliseconds(milliseconds)); }
+
+AttemptId Attempt(std::uint64_t number) {
+  return AttemptId{.request = {.entry = {1}, .number = number}, .attempt = 1};
+}
+
+/// An agent with a reachable engine and the rules in force.
+std::unique_ptr<Policy> ReadyAgent() {
+  auto agent = MakePolicy({.role = Role::kAgent, .name = "agent"});
+  const std::vector<Event> events{
+      ConfigurationAccepted{.configuration = Rules()},
+      BackendObserved{.reachable = true, .instance = 1, .targets = {kCrest}}};
+  agent->Step(At(0), events);
+  return agent;
+}
+
+TEST_CASE("an agent gives each slot to the least served customer, as the naive scheduler does") {
+  auto agent = ReadyAgent();
+  testing::NaiveScheduler naive;
+  naive.AddCustomer(kErie, 2);
+  naive.AddCustomer(kHuron, 1);
+  naive.SetBacklogged(kErie, true);
+  naive.SetBacklogged(kHuron, true);
+  std::mt19937 random(3);
+  const DemandReported demand{.entry = kEntry,
+                              .demand = {{.customer = kErie, .target = kCrest, .count = 5},
+                                         {.customer = kHuron, .target = kCrest, .count = 5}}};
+  auto actions = agent->Step(At(0), std::vector<Event>{demand});
+  for (std::uint64_t i = 1; i <= 200; ++i) {
+    const auto* grant = Find<SendGrant>(actions);
+    REQUIRE(grant != nullptr);
+    if (naive.Gap() > 0) {
+      CHECK(grant->customer == naive.Next());
+    }
+    const CustomerId customer = grant->customer;
+    const double cost = 1.0 + static_cast<double>(random() % 50);
+    const std::vector<Event> run{
+        OfferReceived{.entry = kEntry,
+                      .attempt = Attempt(i),
+                      .traits = {.customer = customer, .target = kCrest},
+                      .grant = grant->grant},
+        ServiceAccrued{.attempt = Attempt(i), .service = cost},
+        AttemptFinished{.attempt = Attempt(i), .result = AttemptResult::kComplete}, demand};
+    actions = agent->Step(At(static_cast<std::int64_t>(i) * 10), run);
+    naive.Charge(customer, cost);
+  }
+  CHECK(naive.Gap() < 51);
+}
+
+TEST_CASE("an agent whose zone is out refuses new work as not run") {
+  auto agent = ReadyAgent();
+  const std::vector<Event> events{
+      DrainRequested{},
+      OfferReceived{
+          .entry = kEntry, .attempt = Attempt(1), .traits = {.customer = kErie, .target = kCrest}}};
+  const auto actions = agent->Step(At(1), events);
+  REQUIRE(Find<RefuseAttempt>(actions) != nullptr);
+  CHECK(Find<RefuseAttempt>(actions)->reason == Reason::kDraining);
+  CHECK(Find<StartAttempt>(actions) == nullptr);
+}
+
+TEST_CASE("a call that may not be repeated isn't tried again after its link was lost") {
+  for (const bool repeatable : {false, true}) {
+    auto entry = MakePolicy({.role = Role::kEntry, .name = "entry"});
+    const auto agent = HandleOf<MemberId>("agent");
+    const RequestId id{.entry = {1}, .number = 1};
+    const std::vector<Event> events{
+        ConfigurationAccepted{.configuration = Rules()},
+        LinkUp{.member = {.id = agent, .name = "agent", .role = Role::kAgent}},
+        AgentReported{.agent = agent, .report = {.targets = {kCrest}, .free = 1}},
+        RequestArrived{.id = id,
+                       .traits = {.customer = kErie, .target = kCrest, .repeatable = repeatable}}};
+    REQUIRE(Find<SendOffer>(entry->Step(At(0), events)) != nullptr);
+    const std::vector<Event> lost{LinkDown{.member = agent}};
+    const auto actions = entry->Step(At(1), lost);
+    const auto* finish = Find<FinishRequest>(actions);
+    CHECK((finish != nullptr) == !repeatable);
+    if (finish != nullptr) {
+      CHECK(finish->outcome == Outcome::kUnknown);
+    }
+  }
+}
+
+TEST_CASE("decisions depend on nothing but their input") {
+  auto first = ReadyAgent();
+  auto second = ReadyAgent();
+  const std::vector<Event> demand{DemandReported{
+      .entry = kEntry, .demand = {{.customer = kErie, .target = kCrest, .count = 5}}}};
+  const auto one = first->Step(At(3), demand);
+  const auto two = second->Step(At(3), demand);
+  REQUIRE(one.size() == two.size());
+  CHECK(Find<SendGrant>(one)->grant == Find<SendGrant>(two)->grant);
+}
+
+}  // namespace
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/tests/unit/settings_test.cc
@@ -0,0 +1,44 @@
+#include <doctest/doctest.h>
+
+#include "lagoonwind/runtime.h"
+
+namespace lagoonwind::runtime {
+namespace {
+
+constexpr std::string_view kAgent = R"([process]
+role = "agent"
+name = "agent-1"
+zone = "lake-1"
+[platform]
+address = "127.0.0.1:9000"
+[links]
+key = "k"
+[backend]
+kind = "service"
+address = "127.0.0.1:9001"
+tags = ["gpu"]
+)";
+
+TEST_CASE("valid settings are read") {
+  const auto settings = ParseSettings(kAgent, "agent.toml");
+  REQUIRE_MESSAGE(settings.ok(), settings.status().ToString());
+  CHECK(settings->role == policy::Role::kAgent);
+  CHECK_FALSE(settings->backend_is_model);
+  CHECK(settings->backend_tags == std::vector<std::string>{"gpu"});
+}
+
+TEST_CASE("every fault is told with its key and line") {
+  std::string text(kAgent);
+  text += "colour = \"red\"\n[process2]\nx = 1\n";
+  text.replace(text.find("127.0.0.1:9000"), 14, "platform.local");
+  const auto settings = ParseSettings(text, "agent.toml");
+  REQUIRE_FALSE(settings.ok());
+  const std::string what(settings.status().message());
+  CHECK(what.find("agent.toml:6: platform.address") != std::string::npos);
+  CHECK(what.find("agent.toml:13: backend.colour: unknown key") != std::string::npos);
+  CHECK(what.find("process2.x: unknown key") != std::string::npos);
+  CHECK_FALSE(ParseSettings("[process", "x.toml").ok());
+}
+
+}  // namespace
+}  // namespace lagoonwind::runtime
