Judge the stream of rules the same way when its oldest records are gone

Cause: a process that began to replay after old records had been dropped compared every proposal with base -1 and refused all of them, while older processes went on: two configurations in force.

Proof: configuration_test, 560 interleavings of three operators of which two append twice; 150 random streams, each cut at 23 points; 150 random joins.

--- a/packages/rules/include/lagoonwind/rules.h
+++ b/packages/rules/include/lagoonwind/rules.h
@@ -29,11 +29,13 @@
   std::string token_sha256;
   /// Largest number of requests that may wait at one entry.
   std::uint32_t queue = limits::kDefaultCustomerQueue;
+  std::string asked_by;
 };
 
 struct ZoneRule {
   std::string name;
   bool out = false;
+  std::string asked_by;
 };
 
 struct TargetRule {
@@ -44,6 +46,7 @@
   std::chrono::seconds window{0};
   /// Only backend servers with this tag run the target; empty means all that serve it.
   std::string backend_tag;
+  std::string asked_by;
 };
 
 /// An accepted set of rules. Immutable once built; share it as `shared_ptr<const>`.
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -112,6 +112,9 @@
         hash == std::string_view::npos ? std::string_view{} : Trim(line.substr(hash + 1));
     if (!comment.starts_with(kAskedBy) || Trim(comment.substr(kAskedBy.size())).empty()) {
       Fail("the rule doesn't say who asked for it; end the line with '# asked by: NAME'");
+      asked_by_ = {};
+    } else {
+      asked_by_ = Trim(comment.substr(kAskedBy.size()));
     }
     ParseRule(Words(rule));
   }
@@ -232,12 +235,14 @@
   template <class Key, class Rule>
   void Insert(std::map<Key, Rule>& rules, Key key, Rule rule) {
     const std::string name = rule.name;
+    rule.asked_by = std::string(asked_by_);
     if (!rules.try_emplace(key, std::move(rule)).second) {
       Fail(absl::StrFormat("'%s' has a rule already; allowed is one rule for each name", name));
     }
   }
 
   int line_ = 0;
+  std::string_view asked_by_;
   ParsedRules result_;
 };
 
--- a/packages/rules/src/rules_history.cc
+++ b/packages/rules/src/rules_history.cc
@@ -1,18 +1,50 @@
 #include "lagoonwind/rules_history.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace lagoonwind {
+namespace {
 
 using nlohmann::json;
 
+/// Records that `judged` remembers.
+constexpr std::size_t kMaxJudged = 256;
+/// Undecided proposals that wait for a snapshot.
+constexpr std::size_t kMaxPending = 1024;
+
+std::shared_ptr<const Configuration> ParseAt(std::int64_t offset, std::string_view text) {
+  ParsedRules parsed = ParseRules(text);
+  if (!parsed.errors.empty()) {
+    return nullptr;
+  }
+  parsed.configuration.offset = offset;
+  return std::make_shared<const Configuration>(std::move(parsed.configuration));
+}
+
+}  // namespace
+
 std::string EncodeProposal(const RulesProposal& proposal) {
   return json{{"base", proposal.base}, {"nonce", proposal.nonce}, {"text", proposal.text}}.dump();
 }
 
-absl::StatusOr<RulesProposal> DecodeProposal(std::string_view record) {
+std::string EncodeSnapshot(const RulesSnapshot& snapshot) {
+  const json body{
+      {"offset", snapshot.offset}, {"through", snapshot.through}, {"text", snapshot.text}};
+  return json{{"snapshot", body}}.dump();
+}
+
+absl::StatusOr<std::variant<RulesProposal, RulesSnapshot>> DecodeRulesRecord(
+    std::string_view record) {
   try {
     const json body = json::parse(record);
+    if (body.contains("snapshot")) {
+      const json& snapshot = body.at("snapshot");
+      return RulesSnapshot{.offset = snapshot.at("offset"),
+                           .through = snapshot.at("through"),
+                           .text = snapshot.at("text")};
+    }
     return RulesProposal{
         .base = body.at("base"), .nonce = body.at("nonce"), .text = body.at("text")};
   } catch (const json::exception& error) {
@@ -20,21 +52,151 @@
   }
 }
 
+absl::StatusOr<RulesProposal> DecodeProposal(std::string_view record) {
+  auto decoded = DecodeRulesRecord(record);
+  if (!decoded.ok()) {
+    return decoded.status();
+  }
+  auto* proposal = std::get_if<RulesProposal>(&*decoded);
+  if (proposal == nullptr) {
+    return absl::InvalidArgumentError("the record is a snapshot");
+  }
+  return std::move(*proposal);
+}
+
+std::string_view Name(Verdict verdict) {
+  switch (verdict) {
+    case Verdict::kAccepted:
+      return "accepted";
+    case Verdict::kStaleBase:
+      return "stale-base";
+    case Verdict::kInvalidRules:
+      return "invalid-rules";
+    case Verdict::kMalformed:
+      return "malformed";
+    case Verdict::kSnapshot:
+      return "snapshot";
+    case Verdict::kUndecided:
+      return "undecided";
+  }
+  return "undecided";
+}
+
+void RulesHistory::NoteOldest(std::int64_t first_offset) {
+  if (first_offset <= next_) {
+    return;
+  }
+  decided_ = false;
+  gap_end_ = first_offset;
+  next_ = first_offset;
+  pending_.clear();
+}
+
 Verdict RulesHistory::Replay(std::int64_t offset, std::string_view record) {
-  const auto proposal = DecodeProposal(record);
-  if (!proposal.ok()) {
+  next_ = offset + 1;
+  auto decoded = DecodeRulesRecord(record);
+  Verdict verdict = Verdict::kMalformed;
+  if (decoded.ok() && std::holds_alternative<RulesSnapshot>(*decoded)) {
+    verdict = Note(offset, std::get<RulesSnapshot>(*decoded));
+  } else if (decoded.ok()) {
+    verdict = Judge(offset, std::get<RulesProposal>(*decoded));
+  } else {
+    Remember({.offset = offset, .in_force = current_->offset});
+  }
+  if (decided_) {
+    through_ = next_;
+  }
+  return verdict;
+}
+
+Verdict RulesHistory::Judge(std::int64_t offset, const RulesProposal& proposal) {
+  if (!decided_ && proposal.base != kAnyBase) {
+    if (pending_.size() == kMaxPending) {
+      gap_end_ = pending_.front().offset + 1;
+      pending_.erase(pending_.begin());
+    }
+    pending_.push_back({.offset = offset, .proposal = proposal});
+    return Verdict::kUndecided;
+  }
+  Verdict verdict = Verdict::kStaleBase;
+  if (proposal.base == current_->offset || proposal.base == kAnyBase) {
+    auto configuration = ParseAt(offset, proposal.text);
+    verdict = configuration == nullptr ? Verdict::kInvalidRules : Verdict::kAccepted;
+    if (configuration != nullptr) {
+      current_ = std::move(configuration);
+      decided_ = true;
+      pending_.clear();
+    }
+  }
+  Remember({.offset = offset,
+            .verdict = verdict,
+            .base = proposal.base,
+            .nonce = proposal.nonce,
+            .in_force = current_->offset});
+  return verdict;
+}
+
+Verdict RulesHistory::Note(std::int64_t offset, const RulesSnapshot& snapshot) {
+  const bool ordered =
+      snapshot.offset >= 0 && snapshot.offset < snapshot.through && snapshot.through <= offset;
+  if (!ordered) {
     return Verdict::kMalformed;
   }
-  if (proposal->base != current_->offset) {
-    return Verdict::kStaleBase;
+  if (decided_) {
+    last_snapshot_ = offset;
+    return Verdict::kSnapshot;
   }
-  ParsedRules parsed = ParseRules(proposal->text);
-  if (!parsed.errors.empty()) {
-    return Verdict::kInvalidRules;
+  if (snapshot.through < gap_end_ || snapshot.offset < current_->offset) {
+    return Verdict::kSnapshot;
   }
-  parsed.configuration.offset = offset;
-  current_ = std::make_shared<const Configuration>(std::move(parsed.configuration));
-  return Verdict::kAccepted;
+  auto configuration = ParseAt(snapshot.offset, snapshot.text);
+  if (configuration == nullptr) {
+    return Verdict::kMalformed;
+  }
+  current_ = std::move(configuration);
+  last_snapshot_ = offset;
+  Decide(snapshot.through);
+  return Verdict::kSnapshot;
+}
+
+bool RulesHistory::Adopt(const std::shared_ptr<const Configuration>& configuration,
+                         std::int64_t through) {
+  const bool ordered = configuration->offset < through || configuration->offset == kNoBase;
+  if (!ordered || through <= through_ || configuration->offset < current_->offset) {
+    return false;
+  }
+  if (configuration->offset > current_->offset) {
+    current_ = configuration;
+  }
+  if (decided_ || through >= next_) {
+    next_ = std::max(next_, through);
+    through_ = through;
+    decided_ = true;
+    pending_.clear();
+  } else if (through >= gap_end_) {
+    Decide(through);
+    through_ = next_;
+  } else {
+    through_ = through;
+  }
+  return true;
+}
+
+void RulesHistory::Decide(std::int64_t through) {
+  decided_ = true;
+  const auto pending = std::exchange(pending_, {});
+  for (const auto& [offset, proposal] : pending) {
+    if (offset >= through) {
+      Judge(offset, proposal);
+    }
+  }
+}
+
+void RulesHistory::Remember(JudgedRecord record) {
+  if (judged_.size() == kMaxJudged) {
+    judged_.erase(judged_.begin());
+  }
+  judged_.push_back(std::move(record));
 }
 
 }  // namespace lagoonwind
--- /dev/null
+++ b/tests/proofs/configuration_test.cc
@@ -0,0 +1,229 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <random>
+
+#include "lagoonwind/rules_diff.h"
+#include "lagoonwind/rules_history.h"
+
+namespace lagoonwind {
+namespace {
+
+constexpr std::uint32_t kSeed = 20261204;
+
+std::string ZoneText(std::string_view name) {
+  return "zone " + std::string(name) + " out # asked by: " + std::string(name) + "\n";
+}
+
+/// An append-only stream that forgets its oldest records.
+struct Stream {
+  std::vector<std::string> records;
+
+  std::int64_t Append(std::string record) {
+    records.push_back(std::move(record));
+    return static_cast<std::int64_t>(records.size()) - 1;
+  }
+  void ReplayInto(RulesHistory& history, std::int64_t first) const {
+    history.NoteOldest(first);
+    for (auto i = history.next(); i < static_cast<std::int64_t>(records.size()); ++i) {
+      history.Replay(i, records[static_cast<std::size_t>(i)]);
+    }
+  }
+};
+
+/// An operator whose lost append answer makes it append its proposal twice.
+struct Operator {
+  std::string name;
+  bool answer_lost = false;
+  int step = 0;
+  std::int64_t base = kNoBase;
+
+  [[nodiscard]] int steps() const { return answer_lost ? 3 : 2; }
+  void Step(Stream& stream) {
+    if (step++ == 0) {
+      RulesHistory history;
+      stream.ReplayInto(history, 0);
+      base = history.current()->offset;
+      return;
+    }
+    stream.Append(EncodeProposal({.base = base, .nonce = name, .text = ZoneText(name)}));
+  }
+};
+
+/// Calls `check` with the stream of every interleaving of the operators' steps.
+template <class Check>
+int ForEachInterleaving(const std::vector<Operator>& operators, const Stream& stream,
+                        const Check& check) {
+  int count = 0;
+  bool over = true;
+  for (std::size_t i = 0; i < operators.size(); ++i) {
+    if (operators[i].step < operators[i].steps()) {
+      over = false;
+      auto next = operators;
+      Stream next_stream = stream;
+      next[i].Step(next_stream);
+      count += ForEachInterleaving(next, next_stream, check);
+    }
+  }
+  if (over) {
+    check(operators, stream);
+    return 1;
+  }
+  return count;
+}
+
+TEST_CASE("racing operators: one winner for each base and a verdict for all, exhaustively") {
+  const std::vector<Operator> operators{
+      {.name = "a", .answer_lost = true}, {.name = "b"}, {.name = "c", .answer_lost = true}};
+  const auto check = [](const std::vector<Operator>& all, const Stream& stream) {
+    RulesHistory history;
+    stream.ReplayInto(history, 0);
+    std::map<std::int64_t, int> winners;
+    std::map<std::string, int> accepted;
+    for (const auto& record : history.judged()) {
+      if (record.verdict == Verdict::kAccepted) {
+        ++winners[record.base];
+        ++accepted[record.nonce];
+      }
+    }
+    const bool one_winner =
+        std::ranges::all_of(winners, [](auto& item) { return item.second == 1; });
+    const bool run_once =
+        std::ranges::all_of(accepted, [](auto& item) { return item.second == 1; });
+    if (!one_winner || !run_once || history.judged().size() != stream.records.size() ||
+        winners[kNoBase] != 1) {
+      FAIL_CHECK("an interleaving has no single winner");
+    }
+    static_cast<void>(all);
+  };
+  CHECK(ForEachInterleaving(operators, {}, check) == 560);
+}
+
+/// A random stream of proposals on right and wrong bases, junk and snapshots; `truth[i]` is what
+/// was in force before record i.
+struct RandomStream {
+  Stream stream;
+  std::vector<std::int64_t> truth{kNoBase};
+  std::vector<std::int64_t> snapshots_through;
+
+  explicit RandomStream(std::mt19937& random, int length) {
+    RulesHistory writer;
+    for (int i = 0; i < length; ++i) {
+      // A snapshot's writer may have read less than the whole stream.
+      if (random() % 3 == 0) {
+        stream.ReplayInto(writer, 0);
+      }
+      const std::int64_t offset = stream.Append(Next(random, writer));
+      RulesHistory full;
+      stream.ReplayInto(full, 0);
+      truth.push_back(full.current()->offset);
+      if (last_through_ >= 0) {
+        snapshots_through.resize(static_cast<std::size_t>(offset) + 1, -1);
+        snapshots_through.back() = last_through_;
+      }
+    }
+  }
+
+ private:
+  std::string Next(std::mt19937& random, const RulesHistory& writer) {
+    last_through_ = -1;
+    switch (random() % 6) {
+      case 0:
+        return "junk";
+      case 1:
+        return EncodeProposal({.base = truth.back(), .nonce = "bad", .text = "nonsense"});
+      case 2:
+        return EncodeProposal({.base = truth.back() - 1, .nonce = "late", .text = ZoneText("l")});
+      case 3:
+        if (writer.current()->offset >= 0) {
+          last_through_ = writer.through();
+          return EncodeSnapshot({.offset = writer.current()->offset,
+                                 .through = writer.through(),
+                                 .text = writer.current()->text});
+        }
+        [[fallthrough]];
+      default:
+        return EncodeProposal(
+            {.base = truth.back(), .nonce = "n", .text = ZoneText(std::to_string(random() % 9))});
+    }
+  }
+
+  std::int64_t last_through_ = -1;
+};
+
+TEST_CASE("a stream whose oldest records are gone gives every process the same configuration") {
+  std::mt19937 random(kSeed);
+  int resolved = 0;
+  for (int round = 0; round < 150; ++round) {
+    const RandomStream made(random, 24);
+    RulesHistory full;
+    made.stream.ReplayInto(full, 0);
+    for (std::int64_t first = 1; first < 24; ++first) {
+      RulesHistory cut;
+      made.stream.ReplayInto(cut, first);
+      const bool covered = std::ranges::any_of(
+          made.snapshots_through, [&](std::int64_t through) { return through >= first; });
+      CHECK((!covered || cut.decided()));
+      if (cut.decided()) {
+        ++resolved;
+        CHECK(cut.current()->offset == full.current()->offset);
+        CHECK(cut.current()->text == full.current()->text);
+      } else {
+        CHECK(cut.current()->offset == kNoBase);
+      }
+      for (const auto& record : cut.judged()) {
+        const auto same = std::ranges::find(full.judged(), record.offset, &JudgedRecord::offset);
+        CHECK((record.verdict == Verdict::kMalformed || record.verdict == same->verdict));
+      }
+    }
+  }
+  CHECK(resolved > 500);
+}
+
+TEST_CASE("a process that joins from a peer at any point reaches the peer's verdicts") {
+  std::mt19937 random(kSeed + 1);
+  for (int round = 0; round < 150; ++round) {
+    const RandomStream made(random, 16);
+    RulesHistory full;
+    made.stream.ReplayInto(full, 0);
+    RulesHistory peer;
+    RulesHistory joiner;
+    std::int64_t in_force = kNoBase;
+    for (std::int64_t i = 0; i < 16; ++i) {
+      peer.Replay(i, made.stream.records[static_cast<std::size_t>(i)]);
+      if (random() % 4 == 0) {
+        joiner.Adopt(peer.current(), peer.through());
+      } else if (random() % 4 == 0) {
+        made.stream.ReplayInto(joiner, static_cast<std::int64_t>(random() % 4));
+      }
+      CHECK(joiner.current()->offset >= in_force);
+      in_force = joiner.current()->offset;
+    }
+    joiner.Adopt(peer.current(), peer.through());
+    CHECK(joiner.current()->offset == full.current()->offset);
+    // An old version that arrives late changes nothing.
+    CHECK_FALSE(joiner.Adopt(std::make_shared<Configuration>(), 1));
+    CHECK(joiner.current()->offset == full.current()->offset);
+  }
+}
+
+TEST_CASE(
+    "a stream that lost every snapshot is recovered by a forced proposal, the same everywhere") {
+  Stream stream;
+  stream.Append(EncodeProposal({.nonce = "a", .text = ZoneText("a")}));
+  stream.Append(EncodeProposal({.base = 0, .nonce = "b", .text = ZoneText("b")}));
+  RulesHistory cut;
+  stream.ReplayInto(cut, 1);
+  CHECK_FALSE(cut.decided());
+  stream.Append(EncodeProposal({.base = kAnyBase, .nonce = "c", .text = ZoneText("c")}));
+  RulesHistory full;
+  stream.ReplayInto(full, 0);
+  stream.ReplayInto(cut, 1);
+  CHECK(full.current()->offset == 2);
+  CHECK(cut.current()->offset == 2);
+}
+
+}  // namespace
+}  // namespace lagoonwind
--- a/tests/unit/rules_test.cc
+++ b/tests/unit/rules_test.cc
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <random>
+
+#include "lagoonwind/rules_diff.h"
 #include "lagoonwind/rules_history.h"
 
 namespace lagoonwind {
@@ -45,5 +49,47 @@
   CHECK_FALSE(history.current()->ZoneOut(HandleOf<ZoneId>("z")));
 }
 
+TEST_CASE("the canonical text is a fixed point and keeps every rule") {
+  const auto parsed =
+      ParseRules("zone z  out #  asked by: x\n# a remark\ncustomer b token sha256:" + kDigest +
+                 " # asked by: y\nservice s once window 2m # asked by: w\n");
+  const std::string text = CanonicalText(parsed.configuration);
+  const auto again = ParseRules(text);
+  CHECK(again.errors.empty());
+  CHECK(CanonicalText(again.configuration) == text);
+  CHECK(DiffRules(parsed.configuration, again.configuration).empty());
+  CHECK(text.ends_with("zone z out  # asked by: x\n"));
+}
+
+TEST_CASE("a difference names each rule that was added, removed or changed") {
+  const auto before =
+      ParseRules("zone a in # asked by: x\nzone b in # asked by: x\n").configuration;
+  const auto after =
+      ParseRules("zone c in # asked by: x\nzone b out # asked by: x\n").configuration;
+  const auto changes = DiffRules(before, after);
+  REQUIRE(changes.size() == 3);
+  CHECK(changes[0] == RuleChange{.key = "zone a", .before = "zone a in  # asked by: x"});
+  CHECK(changes[1].key == "zone b");
+  CHECK(changes[2].before.empty());
+  CHECK(FormatRuleChanges({changes[0]}) == "- zone a in  # asked by: x\n");
+}
+
+TEST_CASE("a patch turns one text into the other, and one that doesn't fit is refused") {
+  std::mt19937 random(7);
+  const auto text = [&] {
+    std::string out(random() % 6, 'a');
+    std::ranges::generate(out, [&] { return "ab"[random() % 2]; });
+    return out;
+  };
+  for (int i = 0; i < 2000; ++i) {
+    const std::string before = text();
+    const std::string after = text();
+    const TextPatch patch = MakePatch(before, after);
+    CHECK(ApplyPatch(before, patch) == after);
+    CHECK(patch.middle.size() <= after.size());
+  }
+  CHECK_FALSE(ApplyPatch("abc", {.prefix = 2, .suffix = 2}).has_value());
+}
+
 }  // namespace
 }  // namespace lagoonwind
