Find out how many requests a backend server bears

Cause: the agent admitted one request at a time, whatever its backend server bore.

Overdue tokens stop all starts until a round shows that the speed is back, so a fall into cold start without a new instance id is noticed. Calls are broken off by first token and by silence instead of never, and a cancelled call within 50 ms also when the backend server is silent.

--- a/packages/backend/include/lagoonwind/backend.h
+++ b/packages/backend/include/lagoonwind/backend.h
@@ -7,7 +7,9 @@
 #include <string_view>
 #include <vector>
 
+#include "lagoonwind/base.h"
 #include "lagoonwind/http.h"
+#include "lagoonwind/limits.h"
 
 /// \file
 /// Backend servers: model engines that stream, and plain services.
@@ -36,10 +38,14 @@
 enum class CallResult {
   /// The whole answer arrived.
   kComplete,
-  /// The backend server never got the call, or refused it before it ran.
+  /// The backend server refused the call before it ran.
   kNotRun,
+  /// No connection to the backend server came about.
+  kNotReached,
   /// The call may have run; its answer is cut or absent.
   kUnknown,
+  /// The call may have run; its answer didn't begin or go on in time.
+  kTimedOut,
   kCancelled,
 };
 
@@ -51,10 +57,21 @@
   /// \param data    Bytes that continue the answer.
   /// \param tokens  Tokens generated since the last call.
   virtual void OnData(std::string_view data, std::uint32_t tokens) = 0;
-  /// True once nobody needs the rest; the call is then broken off.
+  /// True once nobody needs the rest; the call is then broken off within kCancelPollInterval, also
+  /// while the backend server sends nothing.
   [[nodiscard]] virtual bool cancelled() const = 0;
 };
 
+/// Longest silences of a backend server that are borne.
+struct CallTimeouts {
+  /// From the call to the first part of a stream.
+  Duration first_token = limits::kFirstTokenTimeout;
+  /// From the call to the first part of an answer that doesn't stream.
+  Duration whole_answer = limits::kWholeAnswerTimeout;
+  /// Between two parts of an answer.
+  Duration stall = limits::kStallTimeout;
+};
+
 /// What a backend server says of itself; it lags.
 struct Health {
   std::uint64_t instance = 0;
@@ -73,7 +90,9 @@
 };
 
 /// Client of a backend server over HTTP/1.1.
-/// \param address  `HOST:PORT`.
-std::unique_ptr<Backend> MakeHttpBackend(BackendKind kind, std::string address);
+/// \param address   `HOST:PORT`.
+/// \param timeouts  None of them bounds the whole length of an answer that goes on.
+std::unique_ptr<Backend> MakeHttpBackend(BackendKind kind, std::string address,
+                                         const CallTimeouts& timeouts = {});
 
 }  // namespace lagoonwind::backend
--- a/packages/backend/src/http_backend.cc
+++ b/packages/backend/src/http_backend.cc
@@ -1,9 +1,14 @@
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <limits>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 #include "lagoonwind/backend.h"
@@ -24,29 +29,92 @@
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServiceUnavailable = 503;
 constexpr std::size_t kReadBufferBytes = 16U << 10U;
+constexpr std::string_view kEventStream = "text/event-stream";
 
 asio::redirect_error_t<asio::use_awaitable_t<>> Redirect(ErrorCode& error) {
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
+bool AsksForStream(std::string_view body) {
+  const json request = json::parse(body, nullptr, false);
+  const auto found = request.is_object() ? request.find("stream") : request.end();
+  return found != request.end() && found->is_boolean() && found->get<bool>();
+}
+
 std::string Text(beast::string_view view) { return {view.data(), view.size()}; }
 
-/// Counts server-sent events in a stream that arrives in pieces.
-class EventCounter {
+/// Counts the tokens of an answer that arrives in pieces.
+class TokenCounter {
  public:
-  std::uint32_t Count(std::string_view data) {
+  virtual ~TokenCounter() = default;
+  /// \param data  Bytes that continue the answer.
+  /// \return Tokens that they complete.
+  virtual std::uint32_t Count(std::string_view data) = 0;
+};
+
+/// For plain services.
+class NoTokens final : public TokenCounter {
+ public:
+  std::uint32_t Count(std::string_view /*data*/) override { return 0; }
+};
+
+/// Counts server-sent events, each of which carries one token; the last only ends the stream.
+class EventCounter final : public TokenCounter {
+ public:
+  std::uint32_t Count(std::string_view data) override {
     std::uint32_t events = 0;
     for (const char c : data) {
       events += (c == '\n' && last_ == '\n') ? 1 : 0;
       last_ = c;
     }
-    return events;
+    const bool done = data.find(kDoneEvent) != std::string_view::npos;
+    return done && events > 0 ? events - 1 : events;
   }
 
  private:
+  static constexpr std::string_view kDoneEvent = "data: [DONE]";
   char last_ = '\0';
 };
 
+/// Reads the number of tokens that a whole answer states near its end.
+class UsageReader final : public TokenCounter {
+ public:
+  std::uint32_t Count(std::string_view data) override {
+    tail_ += data;
+    const auto found = tail_.rfind(kField);
+    std::uint32_t tokens = 0;
+    if (found != std::string::npos) {
+      const char* const begin = tail_.data() + found + kField.size();
+      const char* const end = tail_.data() + tail_.size();
+      const char* const digit = std::find_if(begin, end, [](char c) { return c != ' '; });
+      std::from_chars(digit, end, tokens);
+    }
+    if (tail_.size() > kTailBytes) {
+      tail_.erase(0, tail_.size() - kTailBytes);
+    }
+    // A number cut by the end of a piece grows with the next one.
+    const std::uint32_t fresh = tokens > counted_ ? tokens - counted_ : 0;
+    counted_ += fresh;
+    return fresh;
+  }
+
+ private:
+  static constexpr std::string_view kField = "\"completion_tokens\":";
+  static constexpr std::size_t kTailBytes = 1024;
+  std::string tail_;
+  std::uint32_t counted_ = 0;
+};
+
+std::unique_ptr<TokenCounter> MakeTokenCounter(BackendKind kind, std::string_view content_type) {
+  if (kind == BackendKind::kPlainService) {
+    return std::make_unique<NoTokens>();
+  }
+  if (content_type.starts_with(kEventStream)) {
+    return std::make_unique<EventCounter>();
+  }
+  return std::make_unique<UsageReader>();
+}
+
 beast::http::request<beast::http::string_body> ToBeast(Call&& call, const std::string& host) {
   beast::http::request<beast::http::string_body> out;
   out.version(kHttp11);
@@ -67,9 +135,60 @@
   return out;
 }
 
+/// Breaks a call off when it is cancelled or silent for too long. Lives on the call's strand.
+class Watchdog : public std::enable_shared_from_this<Watchdog> {
+ public:
+  Watchdog(const asio::any_io_executor& executor, beast::tcp_stream& stream, const AnswerSink& sink)
+      : timer_(executor), stream_(&stream), sink_(&sink) {}
+
+  /// Starts to watch, with the time that the first part may take.
+  void Start(Duration patience) {
+    Expect(patience);
+    asio::co_spawn(timer_.get_executor(), Watch(shared_from_this()), asio::detached);
+  }
+  /// A part arrived; the next may take `patience`.
+  void Expect(Duration patience) { deadline_ = Clock::now() + patience; }
+  /// The call is over; its stream and sink aren't touched again.
+  void Stop() {
+    stream_ = nullptr;
+    timer_.cancel();
+  }
+  [[nodiscard]] bool timed_out() const { return timed_out_; }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  static asio::awaitable<void> Watch(std::shared_ptr<Watchdog> self) {
+    while (self->stream_ != nullptr) {
+      self->timer_.expires_after(limits::kCancelPollInterval);
+      ErrorCode ignored;
+      co_await self->timer_.async_wait(Redirect(ignored));
+      self->Check();
+    }
+  }
+
+  void Check() {
+    if (stream_ == nullptr) {
+      return;
+    }
+    timed_out_ = Clock::now() >= deadline_;
+    if (timed_out_ || sink_->cancelled()) {
+      stream_->close();
+      stream_ = nullptr;
+    }
+  }
+
+  asio::steady_timer timer_;
+  beast::tcp_stream* stream_;
+  const AnswerSink* sink_;
+  Clock::time_point deadline_;
+  bool timed_out_ = false;
+};
+
 class HttpBackend final : public Backend {
  public:
-  HttpBackend(BackendKind kind, std::string address) : kind_(kind), address_(std::move(address)) {}
+  HttpBackend(BackendKind kind, std::string address, const CallTimeouts& timeouts)
+      : kind_(kind), address_(std::move(address)), timeouts_(timeouts) {}
 
   asio::awaitable<CallResult> Run(Call call, AnswerSink& sink) override {
     const auto endpoint = http::ParseEndpoint(address_);
@@ -78,15 +197,21 @@
     stream.expires_after(limits::kConnectTimeout);
     co_await stream.async_connect(*endpoint, Redirect(error));
     if (error) {
-      co_return CallResult::kNotRun;
-    }
-    auto request = ToBeast(std::move(call), address_);
-    co_await beast::http::async_write(stream, request, Redirect(error));
-    if (error) {
-      co_return CallResult::kUnknown;
+      co_return CallResult::kNotReached;
     }
     stream.expires_never();
-    co_return co_await ReadAnswer(stream, sink);
+    const auto watchdog = std::make_shared<Watchdog>(stream.get_executor(), stream, sink);
+    const bool streams = kind_ == BackendKind::kModelEngine && AsksForStream(call.body);
+    watchdog->Start(streams ? timeouts_.first_token : timeouts_.whole_answer);
+    const CallResult result = co_await Exchange(std::move(call), stream, *watchdog, sink);
+    watchdog->Stop();
+    if (result != CallResult::kUnknown) {
+      co_return result;
+    }
+    if (watchdog->timed_out()) {
+      co_return CallResult::kTimedOut;
+    }
+    co_return sink.cancelled() ? CallResult::kCancelled : CallResult::kUnknown;
   }
 
   asio::awaitable<absl::StatusOr<Health>> Observe() override {
@@ -114,11 +239,17 @@
     }
   }
 
-  asio::awaitable<CallResult> ReadAnswer(beast::tcp_stream& stream, AnswerSink& sink) {
+  asio::awaitable<CallResult> Exchange(Call call, beast::tcp_stream& stream, Watchdog& watchdog,
+                                       AnswerSink& sink) {
+    auto request = ToBeast(std::move(call), address_);
+    ErrorCode error;
+    co_await beast::http::async_write(stream, request, Redirect(error));
+    if (error) {
+      co_return CallResult::kUnknown;
+    }
     beast::flat_buffer buffer;
     Parser parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    ErrorCode error;
     co_await beast::http::async_read_header(stream, buffer, parser, Redirect(error));
     if (error) {
       co_return CallResult::kUnknown;
@@ -129,24 +260,26 @@
     }
     sink.OnHead(AnswerHead{.status = status,
                            .content_type = Text(parser.get()[beast::http::field::content_type])});
-    co_return co_await ReadBody(stream, buffer, parser, sink);
+    co_return co_await ReadBody(stream, buffer, parser, watchdog, sink);
   }
 
   asio::awaitable<CallResult> ReadBody(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                       Parser& parser, AnswerSink& sink) {
-    EventCounter counter;
+                                       Parser& parser, Watchdog& watchdog, AnswerSink& sink) {
+    const auto counter =
+        MakeTokenCounter(kind_, Text(parser.get()[beast::http::field::content_type]));
     std::string data(kReadBufferBytes, '\0');
+    ErrorCode error;
     while (!parser.is_done()) {
       parser.get().body().data = data.data();
       parser.get().body().size = data.size();
-      ErrorCode error;
       co_await beast::http::async_read_some(stream, buffer, parser, Redirect(error));
       if (error && error != beast::http::error::need_buffer) {
         co_return CallResult::kUnknown;
       }
-      const std::string_view read(data.data(), data.size() - parser.get().body().size);
-      if (!read.empty()) {
-        sink.OnData(read, kind_ == BackendKind::kModelEngine ? counter.Count(read) : 0);
+      const std::string_view part(data.data(), data.size() - parser.get().body().size);
+      if (!part.empty()) {
+        watchdog.Expect(timeouts_.stall);
+        sink.OnData(part, counter->Count(part));
       }
       if (sink.cancelled()) {
         co_return CallResult::kCancelled;
@@ -157,12 +290,14 @@
 
   BackendKind kind_;
   std::string address_;
+  CallTimeouts timeouts_;
 };
 
 }  // namespace
 
-std::unique_ptr<Backend> MakeHttpBackend(BackendKind kind, std::string address) {
-  return std::make_unique<HttpBackend>(kind, std::move(address));
+std::unique_ptr<Backend> MakeHttpBackend(BackendKind kind, std::string address,
+                                         const CallTimeouts& timeouts) {
+  return std::make_unique<HttpBackend>(kind, std::move(address), timeouts);
 }
 
 }  // namespace lagoonwind::backend
--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -69,4 +69,27 @@
 /// Interval between observations of a backend server by its agent.
 inline constexpr milliseconds kBackendPollInterval{500};
 
+// Capacity of a backend server.
+
+/// Largest window that an agent ever opens, in requests.
+inline constexpr std::uint32_t kMaxWindow = 512;
+/// Least time that an agent without memory watches one request before it admits two.
+inline constexpr milliseconds kFirstLook{1000};
+/// Time after which a window that wasn't used up is lowered to what was used.
+inline constexpr seconds kEvidenceTime{5};
+/// Time for which a window stays below the load at which its backend server crashed; doubles with
+/// each such crash.
+inline constexpr seconds kMinCeilingTime{10};
+inline constexpr seconds kMaxCeilingTime{1800};
+/// Interval at which a call looks whether it was cancelled or has stalled.
+inline constexpr milliseconds kCancelPollInterval{50};
+/// Longest time from a call to the first token of a stream.
+inline constexpr seconds kFirstTokenTimeout{30};
+/// Longest time from a call to the first part of an answer that doesn't stream.
+inline constexpr seconds kWholeAnswerTimeout{300};
+/// Longest silence between two parts of an answer.
+inline constexpr seconds kStallTimeout{15};
+/// Time for which a window stays at the load at which its backend server refused more.
+inline constexpr seconds kRefusalTime{5};
+
 }  // namespace lagoonwind::limits
--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -194,10 +194,16 @@
   AttemptId attempt;
   /// Units of service; see docs/FAIRNESS.md.
   double service = 0;
+  /// Tokens generated since; a whole call of a plain service counts as one.
+  std::uint32_t tokens = 0;
+  /// Time in which these tokens were generated; 0 if it isn't known.
+  Duration took{0};
 };
 /// The backend server sent the first part of its answer.
 struct AnswerStarted {
   AttemptId attempt;
+  /// Time from the start of the attempt to its first token; 0 if the answer doesn't stream.
+  Duration first_token{0};
 };
 struct AttemptFinished {
   AttemptId attempt;
--- a/packages/policy/src/blackboard.cc
+++ b/packages/policy/src/blackboard.cc
@@ -35,8 +35,8 @@
 bool Blackboard::Closed() const { return draining || configuration->ZoneOut(zone); }
 
 std::uint32_t Blackboard::Room() const {
-  const auto used = static_cast<std::uint32_t>(running.size() + grants.size());
-  if (Closed() || !backend.reachable || used >= backend.window) {
+  const auto used = static_cast<std::uint32_t>(running.size() + grants.size()) + backend.foreign;
+  if (Closed() || !backend.reachable || backend.stalled || used >= backend.window) {
     return 0;
   }
   return backend.window - used;
--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,8 @@
   /// Service charged so far, in units of service.
   double service = 0;
   bool answer_started = false;
+  /// When the last streamed token arrived.
+  std::optional<Time> last_token;
 };
 
 struct BackendState {
@@ -94,6 +97,10 @@
   std::vector<TargetId> targets;
   /// Requests that may run at a time.
   std::uint32_t window = 1;
+  /// Requests that the backend server runs and this process doesn't know of.
+  std::uint32_t foreign = 0;
+  /// True while tokens are overdue; nothing is started then.
+  bool stalled = false;
 };
 
 /// The tables that controllers read and write. Each table has one writer, named beside it, except
--- a/packages/runtime/src/attempt_run.cc
+++ b/packages/runtime/src/attempt_run.cc
@@ -15,14 +15,21 @@
 constexpr double kInputTokenService = 0.1;
 /// Service of one second on a plain service, in units of service.
 constexpr double kSecondService = 100;
+constexpr std::string_view kEventStream = "text/event-stream";
+
+Duration Micros(std::chrono::steady_clock::duration duration) {
+  return std::chrono::duration_cast<Duration>(duration);
+}
 
 policy::AttemptResult ResultOf(CallResult result) {
   switch (result) {
     case CallResult::kComplete:
       return policy::AttemptResult::kComplete;
     case CallResult::kNotRun:
+    case CallResult::kNotReached:
       return policy::AttemptResult::kNotRun;
     case CallResult::kUnknown:
+    case CallResult::kTimedOut:
     case CallResult::kCancelled:
       return policy::AttemptResult::kUnknown;
   }
@@ -35,8 +42,11 @@
       return policy::Reason::kNone;
     case CallResult::kNotRun:
       return policy::Reason::kBackendRefused;
+    case CallResult::kNotReached:
     case CallResult::kUnknown:
       return policy::Reason::kBackendFailed;
+    case CallResult::kTimedOut:
+      return policy::Reason::kTimeout;
     case CallResult::kCancelled:
       return policy::Reason::kCallerLeft;
   }
@@ -58,7 +68,7 @@
   message.started.attempt = offer_.attempt;
   context_.links.Send(entry_, message);
   if (context_.settings.backend_is_model) {
-    Charge(kInputTokenService * static_cast<double>(offer_.body.size()) / kBytesPerToken);
+    Charge(kInputTokenService * static_cast<double>(offer_.body.size()) / kBytesPerToken, 0, {});
   }
   backend::Call call{.method = offer_.method,
                      .path = offer_.path,
@@ -69,8 +79,10 @@
                      .idempotency_key = offer_.idempotency_key};
   const CallResult result = co_await backend.Run(std::move(call), *this);
   if (!context_.settings.backend_is_model) {
-    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - started_;
-    Charge(kSecondService * took.count());
+    const auto took = std::chrono::steady_clock::now() - started_;
+    const bool whole = result == CallResult::kComplete;
+    Charge(kSecondService * std::chrono::duration<double>(took).count(), whole ? 1 : 0,
+           Micros(took));
   }
   End(result);
 }
@@ -82,7 +94,10 @@
   message.head.status = static_cast<std::int32_t>(head.status);
   message.head.content_type = head.content_type;
   context_.links.Send(entry_, message);
-  context_.policy.Post(policy::AnswerStarted{.attempt = id_});
+  streams_ = head.content_type.starts_with(kEventStream);
+  if (!streams_) {
+    context_.policy.Post(policy::AnswerStarted{.attempt = id_});
+  }
 }
 
 void AttemptRun::OnData(std::string_view data, std::uint32_t tokens) {
@@ -94,12 +109,29 @@
   sent_ += data.size();
   context_.links.Send(entry_, message);
   if (tokens > 0) {
-    Charge(tokens);
+    ChargeTokens(tokens);
+  }
+}
+
+/// The time to a stream's first tokens is no time per token; a whole answer's time is taken as one.
+void AttemptRun::ChargeTokens(std::uint32_t tokens) {
+  const auto now = std::chrono::steady_clock::now();
+  if (!streams_) {
+    Charge(tokens, tokens, Micros(now - started_));
+    return;
+  }
+  const bool first = last_token_ == std::chrono::steady_clock::time_point{};
+  if (first) {
+    context_.policy.Post(
+        policy::AnswerStarted{.attempt = id_, .first_token = Micros(now - started_)});
   }
+  Charge(tokens, tokens, first ? Duration{0} : Micros(now - last_token_));
+  last_token_ = now;
 }
 
-void AttemptRun::Charge(double service) {
-  context_.policy.Post(policy::ServiceAccrued{.attempt = id_, .service = service});
+void AttemptRun::Charge(double service, std::uint32_t tokens, Duration took) {
+  context_.policy.Post(
+      policy::ServiceAccrued{.attempt = id_, .service = service, .tokens = tokens, .took = took});
   context_.metrics.ServiceCharged(offer_.customer_name, service);
 }
 
--- a/packages/runtime/src/attempt_run.h
+++ b/packages/runtime/src/attempt_run.h
@@ -30,7 +30,8 @@
   [[nodiscard]] bool cancelled() const override { return cancelled_; }
 
  private:
-  void Charge(double service);
+  void Charge(double service, std::uint32_t tokens, Duration took);
+  void ChargeTokens(std::uint32_t tokens);
   void End(backend::CallResult result);
 
   DaemonContext context_;
@@ -40,6 +41,9 @@
   std::atomic<bool> cancelled_{false};
   std::uint64_t sent_ = 0;
   std::chrono::steady_clock::time_point started_;
+  /// When the last streamed token arrived; the epoch before the first.
+  std::chrono::steady_clock::time_point last_token_;
+  bool streams_ = false;
 };
 
 }  // namespace lagoonwind::runtime
--- a/tests/standins/engine.cc
+++ b/tests/standins/engine.cc
@@ -13,6 +13,10 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr int kDefaultMaxTokens = 16;
+/// Load, as a part of the bearing, above which tokens slow down, and by how much for each further
+/// whole bearing; at the bearing they take 1.6 times as long.
+constexpr double kKnee = 0.6;
+constexpr double kSlope = 1.5;
 constexpr std::string_view kCrashText = "crash-the-engine";
 
 /// Text of one token; depends on the prompt so that crossed answers show.
@@ -86,6 +90,12 @@
     return options_.cold_bears + static_cast<std::uint32_t>(grown);
   }
 
+  /// Factor by which tokens slow down as the load nears the bearing.
+  [[nodiscard]] double Slowdown() const {
+    const double load = static_cast<double>(running_) / std::max(Bearing(), 1U);
+    return load <= kKnee ? 1 : 1 + kSlope * (load - kKnee);
+  }
+
   asio::awaitable<http::Response> Complete(const http::Request& request, const json& body) {
     const std::size_t run = runs_.Start(request);
     if (++running_ > Bearing() || request.body.find(kCrashText) != std::string::npos) {
@@ -108,7 +118,7 @@
   }
 
   asio::awaitable<absl::StatusOr<std::string>> NextToken(Generation& generation) {
-    const std::chrono::duration<double> pause(1 / options_.rate);
+    const std::chrono::duration<double> pause(Slowdown() / options_.rate);
     asio::steady_timer timer(co_await asio::this_coro::executor,
                              std::chrono::duration_cast<Clock::duration>(pause));
     co_await timer.async_wait(asio::use_awaitable);
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -74,7 +74,7 @@
 
 struct EngineOptions {
   std::vector<std::string> models{"crest"};
-  /// Tokens a second of each request.
+  /// Tokens a second of each request while the load is well below the bearing.
   double rate = 200;
   /// Requests that a warm engine bears at a time; it crashes above.
   std::uint32_t bears = 8;
--- /dev/null
+++ b/tools/warm_up_experiment.cc
@@ -0,0 +1,63 @@
+#include <cstdlib>
+#include <iostream>
+
+#include "capacity_bench.h"
+
+/// Measures overloads and utilisation of a fake engine over seeds, for the agent's decisions and
+/// for fixed windows. Usage: warm_up_experiment [SEEDS]. Prints CSV.
+namespace {
+
+using lagoonwind::bench::BenchOptions;
+using lagoonwind::bench::BenchResult;
+
+constexpr int kDefaultSeeds = 50;
+
+struct Scenario {
+  const char* name;
+  BenchOptions options;
+};
+
+void Report(const Scenario& scenario, std::uint32_t fixed_window, int seeds) {
+  BenchResult total;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    BenchOptions options = scenario.options;
+    options.seed = static_cast<std::uint64_t>(seed);
+    options.fixed_window = fixed_window;
+    const BenchResult result = lagoonwind::bench::RunCapacityBench(options);
+    total.overloads += result.overloads;
+    total.crashes += result.crashes;
+    total.throughput += result.throughput / seeds;
+    total.occupancy += result.occupancy / seeds;
+  }
+  std::cout << scenario.name << "," << (fixed_window > 0 ? "fixed" : "found") << "," << fixed_window
+            << "," << seeds << "," << total.overloads << "," << total.crashes << ","
+            << total.throughput << "," << total.occupancy << std::endl;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using std::chrono::seconds;
+  const int seeds = argc > 1 ? std::atoi(argv[1]) : kDefaultSeeds;
+  const Scenario scenarios[] = {
+      {"warm", {.engine = {.cold_bears = 16}}},
+      {"warm, after 5 s", {.engine = {.cold_bears = 16}, .warm_up = seconds(5)}},
+      {"small and warm, after 5 s",
+       {.engine = {.cold_bears = 4, .warm_bears = 4}, .warm_up = seconds(5)}},
+      {"cold, 0.2/s", {.engine = {.growth = 0.2}}},
+      {"cold, 1/s", {.engine = {.growth = 1}}},
+      {"cold, 10/s", {.engine = {.growth = 10}}},
+      {"one when cold, 0.5/s", {.engine = {.cold_bears = 1, .growth = 0.5}}},
+      {"two fallbacks", {.engine = {.growth = 1}, .fallbacks = {seconds(20), seconds(23)}}},
+      {"agent restarts twice",
+       {.engine = {.cold_bears = 16}, .agent_restarts = {seconds(10), seconds(12)}}},
+      {"200 requests wide", {.engine = {.cold_bears = 4, .warm_bears = 200, .growth = 20}}},
+  };
+  std::cout << "scenario,window,size,seeds,overloads,crashes,throughput,occupancy\n";
+  for (const Scenario& scenario : scenarios) {
+    Report(scenario, 0, seeds);
+    Report(scenario, 1, seeds);
+    Report(scenario, static_cast<std::uint32_t>(scenario.options.engine.warm_bears), seeds);
+  }
+  return EXIT_SUCCESS;
+}
