--- a/apps/lagoonctl/rules_commands.cc
+++ b/apps/lagoonctl/rules_commands.cc
@@ -15,6 +15,7 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kConflict = 409;
 
 std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream in(path);
@@ -35,7 +36,8 @@
 
 int Refusal(const http::Response& response) {
   std::cerr << response.body;
-  return response.status == kBadRequest ? kExitRefused : kExitUnreachable;
+  const bool refused = response.status == kBadRequest || response.status == kConflict;
+  return refused ? kExitRefused : kExitUnreachable;
 }
 
 /// Waits until the daemon has a configuration at least as new as `offset`.
--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -44,14 +44,54 @@
 /// Largest number of records that one read of the log returns.
 inline constexpr std::size_t kMaxLogReadRecords = 1024;
 /// Interval between reads of the configuration stream by a daemon that tails it.
-inline constexpr milliseconds kConfigurationPollInterval{300};
-/// Interval between reads of the host list.
+inline constexpr milliseconds kConfigurationPollInterval{500};
+/// Longest delay between reads of the configuration stream after failed ones.
+inline constexpr milliseconds kMaxLogRetryDelay{4000};
+/// Shortest interval between reads of the host list.
 inline constexpr milliseconds kHostListPollInterval{500};
+/// Share of that interval for each listed host.
+inline constexpr milliseconds kHostListPollPerHost{20};
+/// Daemons that tail the configuration stream while it is known to be read.
+inline constexpr std::uint32_t kLogReaders = 3;
+/// Largest number of daemons that tail it when it isn't.
+inline constexpr std::uint32_t kMaxLogReaders = 24;
+/// Age of the fleet's last whole read of the log from which on further daemons read it.
+inline constexpr milliseconds kLogReadOverdue{3000};
+/// Time in which the number of readers doubles from there on.
+inline constexpr milliseconds kLogReadersDoubling{2000};
+/// Time for which a daemon goes on reading once it began in another's stead.
+inline constexpr seconds kLogReaderTerm{30};
+/// Time that a fresh daemon waits for peers and for the host list before it reads the log.
+inline constexpr milliseconds kLogReadStartDelay{1000};
+/// Interval between snapshots of the rules in their stream.
+inline constexpr seconds kSnapshotInterval{600};
+/// Time that a fresh reader waits for another's snapshot, and that readers wait for each other.
+inline constexpr seconds kSnapshotDelay{30};
+/// Records of the configuration stream after which a snapshot is due.
+inline constexpr std::int64_t kSnapshotRecords = 64;
 /// Time that one call to the platform may take.
 inline constexpr milliseconds kPlatformTimeout{2000};
 
 // Decisions.
 
+/// Age of the last whole read of the log from which on a daemon without a link to any other
+/// availability zone takes no new work.
+inline constexpr milliseconds kCutOffTimeout{3000};
+/// Time between two steps from which on a daemon counts as having been paused.
+inline constexpr milliseconds kPauseTimeout{2500};
+/// Time for which a paused daemon takes no new work, so that it hears what it missed.
+inline constexpr milliseconds kPauseRecovery{1200};
+/// Time for which a member that is neither listed nor linked is remembered.
+inline constexpr seconds kForgetMember{60};
+/// Time after which a configuration is asked for from another member.
+inline constexpr milliseconds kConfigurationRequestTimeout{1000};
+/// Largest change of a configuration, in bytes, that is sent without regard to others.
+inline constexpr std::size_t kSmallConfigurationChange = 4096;
+/// Least interval between larger ones.
+inline constexpr milliseconds kConfigurationTextInterval{50};
+/// Configurations that a daemon remembers to send changes of.
+inline constexpr std::size_t kFormerConfigurations = 4;
+
 /// Interval between frame steps when no event arrives.
 inline constexpr milliseconds kStepInterval{20};
 /// Number of requests that a customer may have waiting at one entry unless its rule says otherwise.
--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -10,6 +10,7 @@
 
 #include "lagoonwind/base.h"
 #include "lagoonwind/rules.h"
+#include "lagoonwind/rules_diff.h"
 
 /// \file
 /// Decisions of a daemon. No I/O, no threads, no clock and no random source: time, events and the
@@ -43,6 +44,8 @@
   kKeyConflict,
   kKeyRunning,
   kKeyExpired,
+  /// The process reaches neither the log nor any other zone.
+  kCutOff,
 };
 
 /// Field name of an outcome or a reason in replies, logs and metrics. Thread safe.
@@ -128,6 +131,49 @@
 };
 /// Operators or the platform asked this process to leave.
 struct DrainRequested {};
+/// A member says that it is about to leave.
+struct MemberLeaving {
+  MemberId member;
+};
+/// What a member knows of the rules; comes with every heartbeat.
+struct VersionHeard {
+  MemberId member;
+  /// Offset of its configuration.
+  std::int64_t offset = -1;
+  /// It accounts for every record of the stream before this offset.
+  std::int64_t through = 0;
+  /// False if it knows of no read of the stream to its end.
+  bool log_seen = false;
+  /// Time since the stream was last known to be read to its end.
+  Duration log_age{0};
+};
+struct ConfigurationRequested {
+  MemberId member;
+  /// Offset of the configuration that the member has.
+  std::int64_t have = -1;
+};
+/// A configuration as a change of one that this process had; base -1 is the empty text.
+struct ConfigurationReceived {
+  MemberId member;
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  std::int64_t base = -1;
+  TextPatch patch;
+  /// Of the whole text; see ConfigurationDigest.
+  Digest digest;
+};
+struct RulesRecord {
+  std::int64_t offset = 0;
+  std::string data;
+};
+/// Answer to ReadRules.
+struct RulesRead {
+  /// False if the log didn't answer; the rest is then empty.
+  bool ok = false;
+  std::int64_t first_offset = 0;
+  std::int64_t next_offset = 0;
+  std::vector<RulesRecord> records;
+};
 
 // Events of an entry.
 
@@ -218,7 +264,8 @@
                            RequestArrived, CallerLeft, AnswerBegan, AttemptQueued, AttemptStarted,
                            AttemptEnded, GrantReceived, AgentReported, OfferReceived,
                            CancelReceived, GrantDeclined, DemandReported, ServiceAccrued,
-                           AnswerStarted, AttemptFinished, BackendObserved>;
+                           AnswerStarted, AttemptFinished, BackendObserved, MemberLeaving,
+                           VersionHeard, ConfigurationRequested, ConfigurationReceived, RulesRead>;
 
 // Actions of both roles.
 
@@ -229,6 +276,45 @@
 struct CloseLink {
   MemberId member;
 };
+/// Tell a member, or every linked one if it is invalid, that this process leaves.
+struct SendLeaving {
+  MemberId member;
+};
+/// Read the stream of rules; RulesRead answers.
+struct ReadRules {
+  std::int64_t from = 0;
+};
+/// Append a record to the stream of rules. Nothing answers.
+struct AppendRules {
+  std::string record;
+};
+/// The configuration in force or what is known of the stream changed.
+struct PublishConfiguration {
+  std::shared_ptr<const Configuration> configuration;
+  std::int64_t through = 0;
+};
+/// What heartbeats say from now on.
+struct AnnounceVersion {
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  bool log_seen = false;
+  Time log_seen_at;
+  /// Send it to every linked member at once.
+  bool urgent = false;
+};
+/// Ask a member for its configuration; ConfigurationReceived may answer.
+struct RequestConfiguration {
+  MemberId member;
+  std::int64_t have = -1;
+};
+struct SendConfiguration {
+  MemberId member;
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  std::int64_t base = -1;
+  TextPatch patch;
+  Digest digest;
+};
 
 // Actions of an entry.
 
@@ -289,9 +375,11 @@
   AgentReport report;
 };
 
-using Action = std::variant<OpenLink, CloseLink, SendOffer, SendCancel, SendDecline, SendDemand,
-                            FinishRequest, StartAttempt, QueueAttempt, RefuseAttempt, CancelAttempt,
-                            SendGrant, SendAgentReport>;
+using Action =
+    std::variant<OpenLink, CloseLink, SendOffer, SendCancel, SendDecline, SendDemand, FinishRequest,
+                 StartAttempt, QueueAttempt, RefuseAttempt, CancelAttempt, SendGrant,
+                 SendAgentReport, SendLeaving, ReadRules, AppendRules, PublishConfiguration,
+                 AnnounceVersion, RequestConfiguration, SendConfiguration>;
 
 /// What was decided; `Describe` gives it in words.
 enum class DecisionKind {
@@ -348,6 +436,10 @@
 struct Stats {
   std::int64_t configuration_offset = -1;
   bool draining = false;
+  /// Why the process takes no new work; kNone if it does.
+  Reason closed = Reason::kNone;
+  /// True if the process follows the stream of rules itself.
+  bool reads_log = false;
   std::uint32_t window = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
@@ -357,6 +449,9 @@
   std::vector<MemberStats> members;
 };
 
+/// Digest that goes with a configuration's text from process to process. Thread safe.
+Digest ConfigurationDigest(std::int64_t offset, std::string_view text);
+
 /// Parameters of a Policy; the defaults suit tests.
 struct Init {
   Role role = Role::kEntry;
--- a/packages/policy/src/admission_controller.cc
+++ b/packages/policy/src/admission_controller.cc
@@ -35,7 +35,7 @@
     if (!board.Serves(offer.traits.target)) {
       Refuse(offer, Reason::kNotServed, board, actions);
     } else if (board.Closed()) {
-      Refuse(offer, board.draining ? Reason::kDraining : Reason::kZoneOut, board, actions);
+      Refuse(offer, board.ClosedReason(), board, actions);
     } else if (board.Room() > 0 && (granted || !OthersWait(board))) {
       Start(offer, board, actions);
     } else {
--- a/packages/policy/src/blackboard.cc
+++ b/packages/policy/src/blackboard.cc
@@ -32,7 +32,17 @@
   return found != members.end() && found->second.linked;
 }
 
-bool Blackboard::Closed() const { return draining || configuration->ZoneOut(zone); }
+Reason Blackboard::ClosedReason() const {
+  if (draining || listed_leaving) {
+    return Reason::kDraining;
+  }
+  if (configuration->ZoneOut(zone)) {
+    return Reason::kZoneOut;
+  }
+  return cut_off || now < paused_until ? Reason::kCutOff : Reason::kNone;
+}
+
+bool Blackboard::Closed() const { return ClosedReason() != Reason::kNone; }
 
 std::uint32_t Blackboard::Room() const {
   const auto used = static_cast<std::uint32_t>(running.size() + grants.size());
--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lagoonwind/policy.h"
+#include "lagoonwind/rules_history.h"
 
 namespace lagoonwind::policy {
 
@@ -29,6 +30,23 @@
   bool linked = false;
   bool opening = false;
   Incarnation incarnation;
+  /// The member itself said that it leaves.
+  bool left = false;
+  /// It has been linked since this process started.
+  bool was_linked = false;
+  /// When it was last listed or linked.
+  Time last_alive;
+};
+
+/// What this process knows of the platform's log.
+struct LogKnowledge {
+  bool seen = false;
+  /// Latest time at which the stream of rules is known to have been read to its end.
+  Time seen_at;
+  /// This process follows the stream itself.
+  bool reading = false;
+  /// When the read under way was asked for.
+  Time read_began;
 };
 
 enum class RequestPhase { kWaiting, kOffered, kRunning };
@@ -109,11 +127,23 @@
 
   // ConfigurationController.
   std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+  RulesHistory rules;
+  /// Configurations in force before, newest last.
+  std::vector<std::shared_ptr<const Configuration>> former;
+  // ConfigurationController; `reading` and `read_began` by LogReaderController.
+  LogKnowledge log;
 
   // MembershipController.
   bool draining = false;
+  /// The platform lists this process as leaving.
+  bool listed_leaving = false;
   absl::btree_map<MemberId, MemberState> members;
 
+  // ZoneController.
+  bool cut_off = false;
+  /// No new work before this time: the process was paused and may have missed changes.
+  Time paused_until;
+
   // Entry: RoutingController and RetryController.
   absl::btree_map<RequestId, OwnedRequest> requests;
   // Entry: RoutingController.
@@ -134,7 +164,10 @@
   Stats counters;
 
   [[nodiscard]] bool Linked(MemberId member) const;
-  /// True if the agent's own zone is out or the process drains.
+  /// Why this process takes no new work: it leaves, its zone is out, or it is cut off. kNone if it
+  /// does.
+  [[nodiscard]] Reason ClosedReason() const;
+  /// True if this process takes no new work.
   [[nodiscard]] bool Closed() const;
   /// Requests that could start now, grants in flight counted as running.
   [[nodiscard]] std::uint32_t Room() const;
--- a/packages/policy/src/configuration_controller.cc
+++ b/packages/policy/src/configuration_controller.cc
@@ -1,24 +1,132 @@
+#include <algorithm>
+#include <optional>
+
 #include "controller.h"
+#include "lagoonwind/limits.h"
 
 namespace lagoonwind::policy {
 namespace {
 
-/// Keeps the newest accepted configuration; a version never goes back.
+/// Keeps the newest accepted configuration, whether it comes from the log or from other members;
+/// a version never goes back.
 class ConfigurationController final : public Controller {
  public:
   void OnEvent(const Event& event, Blackboard& board, ActionList& /*actions*/) override {
-    const auto* accepted = std::get_if<ConfigurationAccepted>(&event);
-    if (accepted == nullptr || accepted->configuration->offset <= board.configuration->offset) {
+    if (const auto* accepted = std::get_if<ConfigurationAccepted>(&event)) {
+      board.rules.Adopt(accepted->configuration, accepted->configuration->offset + 1);
+    } else if (const auto* read = std::get_if<RulesRead>(&event)) {
+      OnRead(*read, board);
+    } else if (const auto* heard = std::get_if<VersionHeard>(&event)) {
+      OnHeard(*heard, board);
+    } else if (const auto* received = std::get_if<ConfigurationReceived>(&event)) {
+      OnReceived(*received, board);
+    }
+    PutInForce(board);
+  }
+
+  void Update(Blackboard& board, ActionList& actions) override {
+    const bool changed = board.configuration->offset != announced_.offset;
+    const bool advanced = changed || board.rules.through() != announced_.through;
+    if (advanced) {
+      actions.Add(PublishConfiguration{.configuration = board.configuration,
+                                       .through = board.rules.through()});
+    }
+    if (!advanced && board.log.seen_at == announced_.log_seen_at) {
+      return;
+    }
+    announced_ = AnnounceVersion{.offset = board.configuration->offset,
+                                 .through = board.rules.through(),
+                                 .log_seen = board.log.seen,
+                                 .log_seen_at = board.log.seen_at,
+                                 .urgent = changed};
+    actions.Add(announced_);
+  }
+
+ private:
+  static void OnRead(const RulesRead& read, Blackboard& board) {
+    if (!read.ok) {
+      return;
+    }
+    board.rules.NoteOldest(read.first_offset);
+    for (const auto& record : read.records) {
+      if (record.offset >= board.rules.next()) {
+        board.rules.Replay(record.offset, record.data);
+      }
+    }
+    if (board.rules.decided() && board.rules.next() == read.next_offset) {
+      SawLog(board.log.read_began, board);
+    }
+  }
+
+  /// A member's word on the log only counts for the configuration that it has.
+  static void OnHeard(const VersionHeard& heard, Blackboard& board) {
+    if (heard.offset != board.configuration->offset) {
       return;
     }
-    board.configuration = accepted->configuration;
+    board.rules.Adopt(board.configuration, heard.through);
+    if (heard.log_seen) {
+      SawLog(board.now - heard.log_age, board);
+    }
+  }
+
+  static void SawLog(Time at, Blackboard& board) {
+    board.log.seen_at = board.log.seen ? std::max(board.log.seen_at, at) : at;
+    board.log.seen = true;
+  }
+
+  static void OnReceived(const ConfigurationReceived& received, Blackboard& board) {
+    if (received.offset <= board.configuration->offset) {
+      return;
+    }
+    const auto text = TextOf(received, board);
+    if (!text || ConfigurationDigest(received.offset, *text) != received.digest) {
+      return;
+    }
+    ParsedRules parsed = ParseRules(*text);
+    if (!parsed.errors.empty()) {
+      return;
+    }
+    parsed.configuration.offset = received.offset;
+    board.rules.Adopt(std::make_shared<const Configuration>(std::move(parsed.configuration)),
+                      received.through);
+  }
+
+  static std::optional<std::string> TextOf(const ConfigurationReceived& received,
+                                           const Blackboard& board) {
+    if (received.base < 0) {
+      return ApplyPatch({}, received.patch);
+    }
+    if (received.base != board.configuration->offset) {
+      return std::nullopt;
+    }
+    return ApplyPatch(board.configuration->text, received.patch);
+  }
+
+  static void PutInForce(Blackboard& board) {
+    const auto& current = board.rules.current();
+    if (current->offset <= board.configuration->offset) {
+      return;
+    }
+    if (board.configuration->offset >= 0) {
+      board.former.push_back(board.configuration);
+    }
+    if (board.former.size() > limits::kFormerConfigurations) {
+      board.former.erase(board.former.begin());
+    }
+    board.configuration = current;
     board.Record({.kind = DecisionKind::kConfigurationAccepted,
-                  .value = static_cast<double>(accepted->configuration->offset)});
+                  .value = static_cast<double>(current->offset)});
   }
+
+  AnnounceVersion announced_;
 };
 
 }  // namespace
 
+Digest ConfigurationDigest(std::int64_t offset, std::string_view text) {
+  return Digest{StableHash(text, static_cast<std::uint64_t>(offset))};
+}
+
 std::unique_ptr<Controller> MakeConfigurationController() {
   return std::make_unique<ConfigurationController>();
 }
--- a/packages/policy/src/controller.h
+++ b/packages/policy/src/controller.h
@@ -36,6 +36,9 @@
 // Both roles.
 std::unique_ptr<Controller> MakeConfigurationController();
 std::unique_ptr<Controller> MakeMembershipController();
+std::unique_ptr<Controller> MakeLogReaderController();
+std::unique_ptr<Controller> MakeSpreadController();
+std::unique_ptr<Controller> MakeZoneController();
 // Entry.
 std::unique_ptr<Controller> MakeRetryController();
 std::unique_ptr<Controller> MakeRoutingController();
--- /dev/null
+++ b/packages/policy/src/log_reader_controller.cc
@@ -0,0 +1,153 @@
+#include <algorithm>
+
+#include "controller.h"
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+/// Separates the choice of readers from other uses of rendezvous hashing.
+constexpr std::uint64_t kReaderSalt = 0x726561646572;
+
+/// Decides whether this process follows the stream of rules, when it reads, and when it appends a
+/// snapshot. Readers are the first few members by rendezvous hashing; while nobody is known to
+/// read, ever more members do.
+class LogReaderController final : public Controller {
+ public:
+  void OnEvent(const Event& event, Blackboard& board, ActionList& /*actions*/) override {
+    if (const auto* read = std::get_if<RulesRead>(&event)) {
+      OnRead(*read, board);
+    }
+  }
+
+  void Update(Blackboard& board, ActionList& actions) override {
+    if (!started_) {
+      started_ = true;
+      start_ = board.now;
+      snapshot_at_ = board.now;
+    }
+    const std::uint32_t rank = Rank(board);
+    const bool reads = Reads(rank, board);
+    if (reads && !board.log.reading) {
+      snapshot_at_ = std::max(snapshot_at_, board.now);
+    }
+    board.log.reading = reads;
+    if (!reads) {
+      return;
+    }
+    const bool answered =
+        !waiting_ || board.now > board.log.read_began + 2 * limits::kPlatformTimeout;
+    if (answered && board.now >= next_read_) {
+      waiting_ = true;
+      board.log.read_began = board.now;
+      actions.Add(ReadRules{.from = board.rules.next()});
+    }
+    if (SnapshotDue(rank, board)) {
+      snapshot_at_ = board.now;
+      actions.Add(AppendRules{.record = EncodeSnapshot({.offset = board.configuration->offset,
+                                                        .through = board.rules.through(),
+                                                        .text = board.configuration->text})});
+    }
+  }
+
+ private:
+  void OnRead(const RulesRead& read, const Blackboard& board) {
+    waiting_ = false;
+    if (!read.ok) {
+      retry_delay_ = std::min<Duration>(2 * retry_delay_, limits::kMaxLogRetryDelay);
+      next_read_ = board.now + retry_delay_;
+      return;
+    }
+    retry_delay_ = limits::kConfigurationPollInterval;
+    const bool whole = board.rules.next() >= read.next_offset;
+    next_read_ = whole ? board.now + retry_delay_ : board.now;
+    first_offset_ = read.first_offset;
+    next_offset_ = read.next_offset;
+    if (board.rules.last_snapshot() > snapshot_) {
+      snapshot_ = board.rules.last_snapshot();
+      snapshot_at_ = board.now;
+    }
+  }
+
+  static std::uint64_t Score(MemberId member) { return MixHash(member.value, kReaderSalt); }
+
+  /// Number of live members that come before this one.
+  static std::uint32_t Rank(const Blackboard& board) {
+    const std::uint64_t own = Score(board.self);
+    const auto before = [&](const auto& item) {
+      const MemberState& state = item.second;
+      const bool gone = state.member.leaving || (state.was_linked && !state.linked);
+      return !gone && Score(item.first) > own;
+    };
+    return static_cast<std::uint32_t>(std::ranges::count_if(board.members, before));
+  }
+
+  bool Reads(std::uint32_t rank, const Blackboard& board) {
+    if (board.members.empty() && board.now < start_ + limits::kLogReadStartDelay) {
+      return false;
+    }
+    const Duration age = board.now - (board.log.seen ? board.log.seen_at : start_);
+    if (rank < Allowed(age) || (age > limits::kLogReadOverdue && Alone(board))) {
+      if (rank >= limits::kLogReaders) {
+        term_ends_ = board.now + limits::kLogReaderTerm;
+      }
+      return true;
+    }
+    return board.now < term_ends_;
+  }
+
+  /// Number of readers that the age of the last whole read calls for.
+  static std::uint32_t Allowed(Duration age) {
+    std::uint32_t readers = limits::kLogReaders;
+    for (Duration limit = limits::kLogReadOverdue; age > limit && readers < limits::kMaxLogReaders;
+         limit += limits::kLogReadersDoubling) {
+      readers *= 2;
+    }
+    return std::min(readers, limits::kMaxLogReaders);
+  }
+
+  /// A process without links can't hear of the log from others.
+  static bool Alone(const Blackboard& board) {
+    return std::ranges::none_of(board.members, [](const auto& item) { return item.second.linked; });
+  }
+
+  /// A snapshot is due well before the last one can be dropped. Each reader leaves those before it
+  /// time to append theirs.
+  [[nodiscard]] bool SnapshotDue(std::uint32_t rank, const Blackboard& board) const {
+    const bool known = board.rules.decided() && board.configuration->offset >= 0 &&
+                       board.rules.next() == next_offset_;
+    if (!known) {
+      return false;
+    }
+    const std::int64_t last = std::max<std::int64_t>(snapshot_, 0);
+    const bool dropping =
+        first_offset_ > 0 && last < first_offset_ + (next_offset_ - first_offset_) / 2;
+    const bool many = next_offset_ - last >= limits::kSnapshotRecords;
+    const Duration turn = rank * limits::kSnapshotDelay;
+    if (dropping || many) {
+      return board.now >= snapshot_at_ + limits::kConfigurationPollInterval * (4 * rank + 2);
+    }
+    const Duration wait = snapshot_ < 0 ? 2 * limits::kSnapshotDelay : limits::kSnapshotInterval;
+    return board.now >= snapshot_at_ + wait + turn;
+  }
+
+  bool started_ = false;
+  Time start_;
+  Time term_ends_;
+  bool waiting_ = false;
+  Time next_read_;
+  Duration retry_delay_ = limits::kConfigurationPollInterval;
+  std::int64_t first_offset_ = 0;
+  std::int64_t next_offset_ = -1;
+  /// Offset of the newest snapshot seen, and when it was seen or last appended.
+  std::int64_t snapshot_ = -1;
+  Time snapshot_at_;
+};
+
+}  // namespace
+
+std::unique_ptr<Controller> MakeLogReaderController() {
+  return std::make_unique<LogReaderController>();
+}
+
+}  // namespace lagoonwind::policy
--- a/packages/policy/src/membership_controller.cc
+++ b/packages/policy/src/membership_controller.cc
@@ -1,50 +1,64 @@
 #include "controller.h"
+#include "lagoonwind/limits.h"
 
 namespace lagoonwind::policy {
 namespace {
 
-/// Follows the host list and the links. An entry opens a link to every listed agent.
+/// Follows the host list, the links and the members' own word. An entry opens a link to every
+/// listed agent. The list lags and may be wrong: it names candidates, but takes no live link down.
 class MembershipController final : public Controller {
  public:
-  void OnEvent(const Event& event, Blackboard& board, ActionList& /*actions*/) override {
+  void OnEvent(const Event& event, Blackboard& board, ActionList& actions) override {
     if (const auto* listed = std::get_if<MembersListed>(&event)) {
       OnListed(*listed, board);
     } else if (const auto* up = std::get_if<LinkUp>(&event)) {
-      OnLinkUp(*up, board);
+      OnLinkUp(*up, board, actions);
     } else if (const auto* down = std::get_if<LinkDown>(&event)) {
       OnLinkDown(*down, board);
+    } else if (const auto* leaving = std::get_if<MemberLeaving>(&event)) {
+      OnLeaving(*leaving, board);
     } else if (std::holds_alternative<DrainRequested>(event)) {
       board.draining = true;
+      actions.Add(SendLeaving{});
     }
   }
 
   void Update(Blackboard& board, ActionList& actions) override {
-    if (board.init.role != Role::kEntry) {
-      return;
-    }
     for (auto& [id, state] : board.members) {
-      if (WantsLink(state)) {
+      if (state.listed || state.linked) {
+        state.last_alive = board.now;
+      }
+      if (WantsLink(state, board)) {
         state.opening = true;
         actions.Add(OpenLink{.member = state.member});
-      } else if (state.opening && !state.listed && !state.linked) {
-        state.opening = false;
+      } else if (state.opening && Forgotten(state, board)) {
         actions.Add(CloseLink{.member = id});
       }
     }
+    absl::erase_if(board.members, [&](const auto& item) { return Forgotten(item.second, board); });
   }
 
  private:
-  static bool WantsLink(const MemberState& state) {
-    return state.member.role == Role::kAgent && state.listed && !state.member.leaving &&
-           !state.opening && !state.linked;
+  static bool WantsLink(const MemberState& state, const Blackboard& board) {
+    return board.init.role == Role::kEntry && state.member.role == Role::kAgent && state.listed &&
+           !state.member.leaving && !state.opening && !state.linked;
   }
 
+  static bool Forgotten(const MemberState& state, const Blackboard& board) {
+    return !state.listed && !state.linked && board.now - state.last_alive >= limits::kForgetMember;
+  }
+
+  /// An empty list is the sign of a platform in trouble, not of a fleet without hosts.
   static void OnListed(const MembersListed& listed, Blackboard& board) {
+    if (listed.members.empty()) {
+      return;
+    }
     for (auto& [id, state] : board.members) {
       state.listed = false;
     }
     for (const auto& member : listed.members) {
       if (member.id == board.self) {
+        board.listed_leaving = member.leaving;
         continue;
       }
       MemberState& state = board.members[member.id];
@@ -52,24 +66,29 @@
         state.opening = false;
       }
       state.member = member;
+      state.member.leaving = member.leaving || state.left;
       state.listed = true;
     }
-    absl::erase_if(board.members, [](const auto& item) {
-      const MemberState& state = item.second;
-      return !state.listed && !state.linked && !state.opening;
-    });
   }
 
-  static void OnLinkUp(const LinkUp& up, Blackboard& board) {
+  static void OnLinkUp(const LinkUp& up, Blackboard& board, ActionList& actions) {
     MemberState& state = board.members[up.member.id];
     const std::string address = state.member.address;
+    if (state.incarnation != up.incarnation) {
+      state.left = false;
+    }
     state.member = up.member;
+    state.member.leaving = state.left;
     if (state.member.address.empty()) {
       state.member.address = address;
     }
     state.linked = true;
+    state.was_linked = true;
     state.incarnation = up.incarnation;
     board.Record({.kind = DecisionKind::kLinkUp, .member = up.member.id});
+    if (board.draining) {
+      actions.Add(SendLeaving{.member = up.member.id});
+    }
   }
 
   static void OnLinkDown(const LinkDown& down, Blackboard& board) {
@@ -80,6 +99,14 @@
     found->second.linked = false;
     board.Record({.kind = DecisionKind::kLinkDown, .member = down.member});
   }
+
+  static void OnLeaving(const MemberLeaving& leaving, Blackboard& board) {
+    const auto found = board.members.find(leaving.member);
+    if (found != board.members.end()) {
+      found->second.left = true;
+      found->second.member.leaving = true;
+    }
+  }
 };
 
 }  // namespace
--- a/packages/policy/src/names.cc
+++ b/packages/policy/src/names.cc
@@ -60,6 +60,8 @@
       return "key-running";
     case Reason::kKeyExpired:
       return "key-expired";
+    case Reason::kCutOff:
+      return "cut-off";
   }
   return "none";
 }
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -13,10 +13,17 @@
 
 using ControllerList = std::vector<std::unique_ptr<Controller>>;
 
+void AddCommonControllers(ControllerList& list) {
+  list.push_back(MakeMembershipController());
+  list.push_back(MakeConfigurationController());
+  list.push_back(MakeZoneController());
+  list.push_back(MakeLogReaderController());
+  list.push_back(MakeSpreadController());
+}
+
 ControllerList EntryControllers() {
   ControllerList list;
-  list.push_back(MakeConfigurationController());
-  list.push_back(MakeMembershipController());
+  AddCommonControllers(list);
   list.push_back(MakeRetryController());
   list.push_back(MakeRoutingController());
   return list;
@@ -24,8 +31,7 @@
 
 ControllerList AgentControllers() {
   ControllerList list;
-  list.push_back(MakeConfigurationController());
-  list.push_back(MakeMembershipController());
+  AddCommonControllers(list);
   list.push_back(MakeWarmUpController());
   list.push_back(MakeFairShareController());
   list.push_back(MakeAdmissionController());
@@ -60,6 +66,8 @@
     Stats stats = board_.counters;
     stats.configuration_offset = board_.configuration->offset;
     stats.draining = board_.draining;
+    stats.closed = board_.ClosedReason();
+    stats.reads_log = board_.log.reading;
     stats.window = board_.backend.window;
     FillCustomers(stats);
     for (const auto& [id, state] : board_.members) {
--- a/packages/policy/src/routing_controller.cc
+++ b/packages/policy/src/routing_controller.cc
@@ -40,8 +40,8 @@
                     .customer = arrived.traits.customer,
                     .reason = reason});
     };
-    if (board.draining) {
-      refuse(Reason::kDraining);
+    if (board.Closed()) {
+      refuse(board.ClosedReason());
       return;
     }
     const auto rule = board.configuration->customers.find(arrived.traits.customer);
@@ -91,6 +91,7 @@
   static bool Usable(const Blackboard& board, MemberId id, const AgentState& agent) {
     const auto member = board.members.find(id);
     return member != board.members.end() && member->second.linked && !agent.report.draining &&
+           !member->second.member.leaving &&
            !board.configuration->ZoneOut(member->second.member.zone);
   }
 
--- /dev/null
+++ b/packages/policy/src/zone_controller.cc
@@ -0,0 +1,59 @@
+#include <algorithm>
+#include <utility>
+
+#include "controller.h"
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+/// Stops new work where this process can't know whether its availability zone is still in: cut off
+/// from the log and from every other zone, or just back from there or from a pause. An outage of
+/// the log alone leaves the links to other zones and stops nothing.
+class ZoneController final : public Controller {
+ public:
+  void OnEvent(const Event& /*event*/, Blackboard& board, ActionList& /*actions*/) override {
+    NotePause(board);
+  }
+
+  void Update(Blackboard& board, ActionList& /*actions*/) override {
+    NotePause(board);
+    const bool was_cut_off = std::exchange(board.cut_off, CutOff(board));
+    if (was_cut_off && !board.cut_off && LogOverdue(board)) {
+      board.paused_until = board.now + limits::kPauseRecovery;
+    }
+  }
+
+ private:
+  void NotePause(Blackboard& board) {
+    if (board.log.seen && board.now - last_step_ > limits::kPauseTimeout) {
+      board.paused_until = board.now + limits::kPauseRecovery;
+    }
+    last_step_ = board.now;
+  }
+
+  static bool LogOverdue(const Blackboard& board) {
+    return board.log.seen && board.now - board.log.seen_at >= limits::kCutOffTimeout;
+  }
+
+  static bool CutOff(const Blackboard& board) {
+    if (!LogOverdue(board)) {
+      return false;
+    }
+    const auto elsewhere = [&](const auto& item) {
+      const MemberState& state = item.second;
+      return state.was_linked && state.member.zone != board.zone;
+    };
+    const auto linked = [&](const auto& item) { return elsewhere(item) && item.second.linked; };
+    return std::ranges::any_of(board.members, elsewhere) &&
+           std::ranges::none_of(board.members, linked);
+  }
+
+  Time last_step_;
+};
+
+}  // namespace
+
+std::unique_ptr<Controller> MakeZoneController() { return std::make_unique<ZoneController>(); }
+
+}  // namespace lagoonwind::policy
--- a/packages/runtime/src/configuration_store.cc
+++ b/packages/runtime/src/configuration_store.cc
@@ -2,47 +2,63 @@
 
 #include <glog/logging.h>
 
-#include "lagoonwind/limits.h"
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <iterator>
 
 namespace lagoonwind::runtime {
 
 namespace asio = http::asio;
 
-ConfigurationStore::ConfigurationStore(platform::LogService& log, PolicyHost& policy)
-    : log_(log), policy_(policy) {}
+ConfigurationStore::ConfigurationStore(asio::io_context& io, platform::LogService& log,
+                                       PolicyHost& policy)
+    : io_(io), log_(log), policy_(policy) {}
 
-asio::awaitable<void> ConfigurationStore::Tail() {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  std::int64_t next = 0;
-  for (;;) {
-    const auto read = co_await log_.Read(std::string(kRulesStream), next);
-    if (read.ok()) {
-      next = Replay(*read);
+bool ConfigurationStore::Execute(const policy::Action& action) {
+  if (const auto* read = std::get_if<policy::ReadRules>(&action)) {
+    asio::co_spawn(io_, Read(read->from), asio::detached);
+  } else if (const auto* append = std::get_if<policy::AppendRules>(&action)) {
+    asio::co_spawn(io_, Append(append->record), asio::detached);
+  } else if (const auto* publish = std::get_if<policy::PublishConfiguration>(&action)) {
+    const std::scoped_lock lock(mutex_);
+    if (publish->configuration != view_.configuration) {
+      LOG(INFO) << "event=configuration_in_force offset=" << publish->configuration->offset;
     }
-    timer.expires_after(limits::kConfigurationPollInterval);
-    co_await timer.async_wait(asio::use_awaitable);
+    view_ = {.configuration = publish->configuration, .through = publish->through};
+  } else {
+    return false;
   }
+  return true;
 }
 
-std::int64_t ConfigurationStore::Replay(const platform::LogRead& read) {
-  for (const auto& record : read.records) {
-    if (history_.Replay(record.offset, record.data) != Verdict::kAccepted) {
-      continue;
-    }
-    {
-      const std::scoped_lock lock(mutex_);
-      current_ = history_.current();
-    }
-    LOG(INFO) << "event=configuration_accepted offset=" << record.offset;
-    policy_.Post(policy::ConfigurationAccepted{.configuration = history_.current()});
+asio::awaitable<void> ConfigurationStore::Read(std::int64_t from) {
+  auto read = co_await log_.Read(std::string(kRulesStream), from);
+  policy::RulesRead event{.ok = read.ok()};
+  if (read.ok()) {
+    event.first_offset = read->first_offset;
+    event.next_offset = read->next_offset;
+    std::ranges::transform(
+        read->records, std::back_inserter(event.records), [](platform::LogRecord& record) {
+          return policy::RulesRecord{.offset = record.offset, .data = std::move(record.data)};
+        });
   }
-  return read.records.empty() ? std::max<std::int64_t>(read.first_offset, read.next_offset)
-                              : read.records.back().offset + 1;
+  policy_.Post(std::move(event));
+}
+
+asio::awaitable<void> ConfigurationStore::Append(std::string record) {
+  std::vector<std::string> records{std::move(record)};
+  const auto offset = co_await log_.Append(std::string(kRulesStream), std::move(records));
+  LOG(INFO) << "event=rules_snapshot appended=" << offset.ok();
 }
 
 std::shared_ptr<const Configuration> ConfigurationStore::current() const {
+  return view().configuration;
+}
+
+ConfigurationView ConfigurationStore::view() const {
   const std::scoped_lock lock(mutex_);
-  return current_;
+  return view_;
 }
 
 }  // namespace lagoonwind::runtime
--- a/packages/runtime/src/configuration_store.h
+++ b/packages/runtime/src/configuration_store.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <mutex>
+#include <string>
 
 #include "lagoonwind/http.h"
 #include "lagoonwind/platform.h"
@@ -10,26 +11,35 @@
 
 namespace lagoonwind::runtime {
 
-/// Follows the stream of rules and holds the configuration in force. Thread safe.
+/// A configuration and how much of the stream of rules it accounts for.
+struct ConfigurationView {
+  std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+  /// Every record of the stream before this offset is accounted for.
+  std::int64_t through = 0;
+};
+
+/// Does the decisions' I/O on the stream of rules and holds the configuration in force. Thread
+/// safe. Its mutex is a leaf of the lock order.
 class ConfigurationStore {
  public:
-  ConfigurationStore(platform::LogService& log, PolicyHost& policy);
+  ConfigurationStore(http::asio::io_context& io, platform::LogService& log, PolicyHost& policy);
 
-  /// Reads the stream of rules again and again.
-  http::asio::awaitable<void> Tail();
+  /// Carries out an action on the stream of rules. \return False if it isn't one.
+  bool Execute(const policy::Action& action);
   /// The configuration in force; has offset -1 before any.
   [[nodiscard]] std::shared_ptr<const Configuration> current() const;
+  [[nodiscard]] ConfigurationView view() const;
 
  private:
-  /// Returns the offset to read from next.
-  std::int64_t Replay(const platform::LogRead& read);
+  http::asio::awaitable<void> Read(std::int64_t from);
+  http::asio::awaitable<void> Append(std::string record);
 
+  http::asio::io_context& io_;
   platform::LogService& log_;
   PolicyHost& policy_;
-  RulesHistory history_;
 
   mutable std::mutex mutex_;
-  std::shared_ptr<const Configuration> current_ = std::make_shared<Configuration>();
+  ConfigurationView view_;
 };
 
 }  // namespace lagoonwind::runtime
--- a/packages/runtime/src/daemon.cc
+++ b/packages/runtime/src/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -63,7 +64,7 @@
         hosts_(platform::MakeHttpHostList(settings.platform_address)),
         policy_(io_, policy::MakePolicy(InitOf(settings, incarnation_))),
         links_(io_, LinkOptionsOf(settings, incarnation_), policy_),
-        configuration_(*log_, policy_),
+        configuration_(io_, *log_, policy_),
         context_{.settings = settings_,
                  .incarnation = incarnation_,
                  .io = io_,
@@ -107,7 +108,6 @@
     }
     asio::co_spawn(io_, links_.Accept(link_acceptor_), asio::detached);
     asio::co_spawn(io_, ServeOperators(), asio::detached);
-    asio::co_spawn(io_, configuration_.Tail(), asio::detached);
     asio::co_spawn(io_, FollowHostList(), asio::detached);
     asio::co_spawn(io_, AwaitSignal(), asio::detached);
     return WriteAddresses();
@@ -136,11 +136,7 @@
   }
 
   void Execute(const policy::Action& action) {
-    if (const auto* open = std::get_if<policy::OpenLink>(&action)) {
-      links_.Open(open->member);
-    } else if (const auto* close = std::get_if<policy::CloseLink>(&action)) {
-      links_.Close(close->member);
-    } else {
+    if (!links_.Execute(action) && !configuration_.Execute(action)) {
       role_->Execute(action);
     }
   }
@@ -156,10 +152,13 @@
     asio::steady_timer timer(co_await asio::this_coro::executor);
     for (;;) {
       auto members = co_await hosts_->Read();
+      std::size_t count = 0;
       if (members.ok()) {
+        count = members->size();
         policy_.Post(policy::MembersListed{.members = *std::move(members)});
       }
-      timer.expires_after(limits::kHostListPollInterval);
+      timer.expires_after(std::max<std::chrono::milliseconds>(
+          limits::kHostListPollInterval, count * limits::kHostListPollPerHost));
       co_await timer.async_wait(asio::use_awaitable);
     }
   }
--- a/packages/runtime/src/link.cc
+++ b/packages/runtime/src/link.cc
@@ -88,9 +88,7 @@
       break;
     }
     last_received_ = std::chrono::steady_clock::now();
-    if (!message->__isset.ping) {
-      handler_.OnLinkMessage(*this, *std::move(message));
-    }
+    handler_.OnLinkMessage(*this, *std::move(message));
   }
   Close();
 }
@@ -157,9 +155,7 @@
 asio::awaitable<void> Link::Heartbeat() {
   asio::steady_timer timer(socket_.get_executor());
   while (open_) {
-    wire::Message ping;
-    ping.__set_ping({});
-    Send(ping);
+    Send(handler_.Heartbeat());
     timer.expires_after(limits::kHeartbeatInterval);
     ErrorCode ignored;
     co_await timer.async_wait(Redirect(ignored));
--- a/packages/runtime/src/link.h
+++ b/packages/runtime/src/link.h
@@ -17,6 +17,8 @@
  public:
   virtual ~LinkHandler() = default;
   virtual void OnLinkMessage(Link& link, wire::Message message) = 0;
+  /// The heartbeat to send now.
+  virtual wire::Message Heartbeat() = 0;
 };
 
 /// One connection to another daemon. Hold it as a shared_ptr; all coroutines run on its strand.
--- a/packages/runtime/src/link_manager.cc
+++ b/packages/runtime/src/link_manager.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "lagoonwind/limits.h"
+#include "spread_messages.h"
 
 namespace lagoonwind::runtime {
 namespace {
@@ -15,6 +16,8 @@
 namespace asio = http::asio;
 using ErrorCode = boost::system::error_code;
 
+Time Now() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
 asio::redirect_error_t<asio::use_awaitable_t<>> Redirect(ErrorCode& error) {
   return asio::redirect_error(asio::use_awaitable, error);
 }
@@ -182,9 +185,62 @@
       return;
     }
   }
+  if (auto event = SpreadEventOf(link.peer(), message)) {
+    policy_.Post(*std::move(event));
+    return;
+  }
   handler_->OnMessage(link.peer(), std::move(message));
 }
 
+wire::Message LinkManager::Heartbeat() {
+  const std::scoped_lock lock(mutex_);
+  return MessageOf(version_, Now());
+}
+
+bool LinkManager::Execute(const policy::Action& action) {
+  if (const auto* open = std::get_if<policy::OpenLink>(&action)) {
+    Open(open->member);
+  } else if (const auto* close = std::get_if<policy::CloseLink>(&action)) {
+    Close(close->member);
+  } else if (const auto* version = std::get_if<policy::AnnounceVersion>(&action)) {
+    Announce(*version);
+  } else if (const auto* request = std::get_if<policy::RequestConfiguration>(&action)) {
+    Send(request->member, MessageOf(*request));
+  } else if (const auto* configuration = std::get_if<policy::SendConfiguration>(&action)) {
+    Send(configuration->member, MessageOf(*configuration));
+  } else if (const auto* leaving = std::get_if<policy::SendLeaving>(&action)) {
+    SendLeaving(*leaving);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void LinkManager::Announce(const policy::AnnounceVersion& version) {
+  {
+    const std::scoped_lock lock(mutex_);
+    version_ = version;
+  }
+  if (version.urgent) {
+    SendToAll(MessageOf(version, Now()));
+  }
+}
+
+void LinkManager::SendLeaving(const policy::SendLeaving& leaving) {
+  wire::Message message;
+  message.__set_leaving({});
+  if (leaving.member.valid()) {
+    Send(leaving.member, message);
+  } else {
+    SendToAll(message);
+  }
+}
+
+void LinkManager::SendToAll(const wire::Message& message) {
+  Broadcast(policy::Role::kEntry, message);
+  Broadcast(policy::Role::kAgent, message);
+}
+
 bool LinkManager::Wanted(const policy::Member& member) const {
   const std::scoped_lock lock(mutex_);
   const auto found = wanted_.find(member.id);
--- a/packages/runtime/src/link_manager.h
+++ b/packages/runtime/src/link_manager.h
@@ -47,7 +47,12 @@
   /// Sends to every linked member of a role. Thread safe.
   void Broadcast(policy::Role role, const wire::Message& message);
 
+  /// Carries out an action on links, heartbeats or the spread of the configuration. Thread safe.
+  /// \return False if it isn't one.
+  bool Execute(const policy::Action& action);
+
   void OnLinkMessage(Link& link, wire::Message message) override;
+  wire::Message Heartbeat() override;
 
  private:
   struct Established {
@@ -61,6 +66,9 @@
   void Register(const std::shared_ptr<Link>& link, const wire::gen::Hello& hello,
                 const std::string& address);
   void Unregister(const std::shared_ptr<Link>& link);
+  void Announce(const policy::AnnounceVersion& version);
+  void SendToAll(const wire::Message& message);
+  void SendLeaving(const policy::SendLeaving& leaving);
   [[nodiscard]] bool Wanted(const policy::Member& member) const;
   [[nodiscard]] wire::gen::Hello OwnHello() const;
 
@@ -73,6 +81,8 @@
   absl::flat_hash_map<MemberId, Established> links_;
   /// Address at which each wanted member is opened.
   absl::flat_hash_map<MemberId, std::string> wanted_;
+  /// What heartbeats say.
+  policy::AnnounceVersion version_;
 };
 
 }  // namespace lagoonwind::runtime
--- a/packages/runtime/src/operator_port.cc
+++ b/packages/runtime/src/operator_port.cc
@@ -6,6 +6,7 @@
 
 #include "digest.h"
 #include "lagoonwind/limits.h"
+#include "proposal.h"
 
 namespace lagoonwind::runtime {
 namespace {
@@ -16,6 +17,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kConflict = 409;
 constexpr unsigned kUnavailable = 503;
 
 http::Response Json(unsigned status, const json& body) {
@@ -45,6 +47,10 @@
   }
   if (path == "/readyz") {
     const bool ready = context_.configuration.current()->offset >= 0;
+    const policy::Reason closed = context_.policy.stats().closed;
+    if (ready && closed != policy::Reason::kNone) {
+      co_return Plain(kUnavailable, std::string(policy::Name(closed)) + "\n");
+    }
     co_return ready ? Plain(kOk, "ready\n") : Plain(kUnavailable, "no configuration yet\n");
   }
   if (path == "/status") {
@@ -57,6 +63,9 @@
     const auto current = context_.configuration.current();
     co_return Json(kOk, {{"offset", current->offset}, {"text", current->text}});
   }
+  if (path == "/rules/history") {
+    co_return co_await History();
+  }
   if (path == "/rules" && request.method == "POST") {
     co_return co_await Propose(std::move(request.body));
   }
@@ -89,6 +98,8 @@
                     {"zone", context_.settings.zone},
                     {"configuration_offset", stats.configuration_offset},
                     {"draining", stats.draining},
+                    {"closed", policy::Name(stats.closed)},
+                    {"reads_log", stats.reads_log},
                     {"window", stats.window},
                     {"running", stats.running},
                     {"waiting", stats.waiting},
@@ -120,25 +131,52 @@
 asio::awaitable<http::Response> OperatorPort::Propose(std::string body) {
   constexpr std::size_t kNonceBytes = 16;
   const json proposal = json::parse(body, nullptr, false);
-  if (!proposal.is_object() || !proposal.contains("text") || !proposal["text"].is_string()) {
-    co_return Plain(kBadRequest, "the body isn't a proposal; allowed is {base, text}\n");
+  if (!proposal.is_object() || !proposal.contains("text") || !proposal["text"].is_string() ||
+      !proposal.value("base", json(0)).is_number_integer() ||
+      !proposal.value("nonce", json("")).is_string()) {
+    co_return Plain(kBadRequest, "the body isn't a proposal; allowed is {base, text, nonce}\n");
   }
   const std::string text = proposal["text"];
   const auto parsed = ParseRules(text);
   if (!parsed.errors.empty()) {
     co_return Plain(kBadRequest, FormatRuleErrors("rules", parsed.errors));
   }
-  const std::int64_t base = context_.configuration.current()->offset;
-  const RulesProposal record{.base = proposal.value("base", base),
-                             .nonce = absl::BytesToHexString(RandomBytes(kNonceBytes)),
-                             .text = text};
-  std::vector<std::string> records{EncodeProposal(record)};
-  const auto offset = co_await context_.log.Append(std::string(kRulesStream), std::move(records));
-  if (!offset.ok()) {
-    std::string reason{offset.status().message()};
-    co_return Plain(kUnavailable, std::move(reason));
-  }
-  co_return Json(kOk, {{"offset", *offset}, {"base", record.base}});
+  const ConfigurationView view = context_.configuration.view();
+  RulesProposal record{.base = proposal.value("base", view.configuration->offset),
+                       .nonce = proposal.value("nonce", std::string()),
+                       .text = text};
+  if (record.nonce.empty()) {
+    record.nonce = absl::BytesToHexString(RandomBytes(kNonceBytes));
+  }
+  const auto outcome = co_await runtime::Propose(context_.log, view, record);
+  if (!outcome.ok()) {
+    co_return Json(kUnavailable, {{"verdict", "unknown"},
+                                  {"reason", std::string{outcome.status().message()}},
+                                  {"nonce", record.nonce}});
+  }
+  const bool accepted = outcome->verdict == Verdict::kAccepted;
+  co_return Json(accepted ? kOk : kConflict, {{"verdict", Name(outcome->verdict)},
+                                              {"offset", outcome->offset},
+                                              {"base", record.base},
+                                              {"in_force", outcome->in_force},
+                                              {"changes", FormatRuleChanges(outcome->changes)},
+                                              {"nonce", record.nonce}});
+}
+
+asio::awaitable<http::Response> OperatorPort::History() {
+  const auto history = co_await ReadRulesHistory(context_.log);
+  if (!history.ok()) {
+    co_return Plain(kUnavailable, std::string{history.status().message()} + "\n");
+  }
+  json records = json::array();
+  for (const auto& record : *history) {
+    records.push_back({{"offset", record.offset},
+                       {"verdict", Name(record.verdict)},
+                       {"base", record.base},
+                       {"nonce", record.nonce},
+                       {"in_force", record.in_force}});
+  }
+  co_return Json(kOk, {{"records", std::move(records)}});
 }
 
 }  // namespace lagoonwind::runtime
--- a/packages/runtime/src/operator_port.h
+++ b/packages/runtime/src/operator_port.h
@@ -15,6 +15,7 @@
   http::Response Status() const;
   http::Response Explain(std::string_view target) const;
   http::asio::awaitable<http::Response> Propose(std::string body);
+  http::asio::awaitable<http::Response> History();
 
   DaemonContext context_;
 };
--- /dev/null
+++ b/packages/runtime/src/proposal.cc
@@ -0,0 +1,100 @@
+#include "proposal.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::runtime {
+namespace {
+
+namespace asio = http::asio;
+
+/// Times that a proposal is appended or looked for before its verdict is given up.
+constexpr int kMostTries = 5;
+constexpr std::chrono::milliseconds kTryInterval{300};
+
+/// Replays the stream up to its end. Unavailable if the log doesn't answer.
+asio::awaitable<absl::Status> CatchUp(platform::LogService& log, RulesHistory& history) {
+  for (;;) {
+    const auto read = co_await log.Read(std::string(kRulesStream), history.next());
+    if (!read.ok()) {
+      co_return read.status();
+    }
+    history.NoteOldest(read->first_offset);
+    for (const auto& record : read->records) {
+      history.Replay(record.offset, record.data);
+    }
+    if (read->records.empty() || history.next() >= read->next_offset) {
+      co_return absl::OkStatus();
+    }
+  }
+}
+
+/// The record that the proposal's fate hangs on: an accepted copy, else the first one.
+const JudgedRecord* FindCopy(const RulesHistory& history, const std::string& nonce) {
+  const auto& judged = history.judged();
+  const auto accepted = std::ranges::find_if(judged, [&](const JudgedRecord& record) {
+    return record.nonce == nonce && record.verdict == Verdict::kAccepted;
+  });
+  const auto found =
+      accepted != judged.end() ? accepted : std::ranges::find(judged, nonce, &JudgedRecord::nonce);
+  return found == judged.end() ? nullptr : &*found;
+}
+
+ProposalOutcome OutcomeOf(const JudgedRecord& record, const RulesHistory& history,
+                          const RulesProposal& proposal) {
+  ProposalOutcome outcome{
+      .verdict = record.verdict, .offset = record.offset, .in_force = record.in_force};
+  if (record.verdict == Verdict::kStaleBase) {
+    outcome.in_force = history.current()->offset;
+    outcome.changes = DiffRules(ParseRules(proposal.text).configuration, *history.current());
+  }
+  return outcome;
+}
+
+}  // namespace
+
+asio::awaitable<absl::StatusOr<ProposalOutcome>> Propose(platform::LogService& log,
+                                                         ConfigurationView view,
+                                                         RulesProposal proposal) {
+  RulesHistory history;
+  history.Adopt(view.configuration, view.through);
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  bool appended = false;
+  absl::Status status = absl::OkStatus();
+  for (int tries = 0; tries < kMostTries; ++tries) {
+    if (!appended) {
+      std::vector<std::string> records{EncodeProposal(proposal)};
+      const auto offset = co_await log.Append(std::string(kRulesStream), std::move(records));
+      appended = offset.ok();
+      status = offset.status();
+    }
+    const absl::Status caught_up = co_await CatchUp(log, history);
+    if (caught_up.ok()) {
+      if (const JudgedRecord* copy = FindCopy(history, proposal.nonce)) {
+        co_return OutcomeOf(*copy, history, proposal);
+      }
+      if (appended && !history.decided()) {
+        co_return ProposalOutcome{.in_force = history.current()->offset};
+      }
+    } else {
+      status = caught_up;
+    }
+    timer.expires_after(kTryInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  co_return absl::UnavailableError(status.message());
+}
+
+asio::awaitable<absl::StatusOr<std::vector<JudgedRecord>>> ReadRulesHistory(
+    platform::LogService& log) {
+  RulesHistory history;
+  absl::Status status = co_await CatchUp(log, history);
+  if (!status.ok()) {
+    co_return status;
+  }
+  co_return history.judged();
+}
+
+}  // namespace lagoonwind::runtime
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -522,6 +522,14 @@
 void Ping::__set_configuration_offset(const int64_t val) {
   this->configuration_offset = val;
 }
+
+void Ping::__set_rules_through(const int64_t val) {
+  this->rules_through = val;
+}
+
+void Ping::__set_log_age_ms(const int64_t val) {
+  this->log_age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ping& obj)
 {
   obj.printTo(out);
@@ -558,6 +566,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rules_through);
+          this->__isset.rules_through = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->log_age_ms);
+          this->__isset.log_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -579,6 +603,14 @@
   xfer += oprot->writeI64(this->configuration_offset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rules_through", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->rules_through);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("log_age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->log_age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -587,24 +619,34 @@
 void swap(Ping &a, Ping &b) {
   using ::std::swap;
   swap(a.configuration_offset, b.configuration_offset);
+  swap(a.rules_through, b.rules_through);
+  swap(a.log_age_ms, b.log_age_ms);
   swap(a.__isset, b.__isset);
 }
 
 Ping::Ping(const Ping& other12) noexcept {
   configuration_offset = other12.configuration_offset;
+  rules_through = other12.rules_through;
+  log_age_ms = other12.log_age_ms;
   __isset = other12.__isset;
 }
 Ping::Ping(Ping&& other13) noexcept {
   configuration_offset = other13.configuration_offset;
+  rules_through = other13.rules_through;
+  log_age_ms = other13.log_age_ms;
   __isset = other13.__isset;
 }
 Ping& Ping::operator=(const Ping& other14) noexcept {
   configuration_offset = other14.configuration_offset;
+  rules_through = other14.rules_through;
+  log_age_ms = other14.log_age_ms;
   __isset = other14.__isset;
   return *this;
 }
 Ping& Ping::operator=(Ping&& other15) noexcept {
   configuration_offset = other15.configuration_offset;
+  rules_through = other15.rules_through;
+  log_age_ms = other15.log_age_ms;
   __isset = other15.__isset;
   return *this;
 }
@@ -612,6 +654,342 @@
   using ::apache::thrift::to_string;
   out << "Ping(";
   out << "configuration_offset=" << to_string(configuration_offset);
+  out << ", " << "rules_through=" << to_string(rules_through);
+  out << ", " << "log_age_ms=" << to_string(log_age_ms);
+  out << ")";
+}
+
+
+ConfigurationRequest::~ConfigurationRequest() noexcept {
+}
+
+
+void ConfigurationRequest::__set_have(const int64_t val) {
+  this->have = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have);
+          this->__isset.have = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigurationRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationRequest");
+
+  xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->have);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationRequest &a, ConfigurationRequest &b) {
+  using ::std::swap;
+  swap(a.have, b.have);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other16) noexcept {
+  have = other16.have;
+  __isset = other16.__isset;
+}
+ConfigurationRequest::ConfigurationRequest(ConfigurationRequest&& other17) noexcept {
+  have = other17.have;
+  __isset = other17.__isset;
+}
+ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other18) noexcept {
+  have = other18.have;
+  __isset = other18.__isset;
+  return *this;
+}
+ConfigurationRequest& ConfigurationRequest::operator=(ConfigurationRequest&& other19) noexcept {
+  have = other19.have;
+  __isset = other19.__isset;
+  return *this;
+}
+void ConfigurationRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationRequest(";
+  out << "have=" << to_string(have);
+  out << ")";
+}
+
+
+ConfigurationText::~ConfigurationText() noexcept {
+}
+
+
+void ConfigurationText::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void ConfigurationText::__set_through(const int64_t val) {
+  this->through = val;
+}
+
+void ConfigurationText::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void ConfigurationText::__set_prefix(const int64_t val) {
+  this->prefix = val;
+}
+
+void ConfigurationText::__set_suffix(const int64_t val) {
+  this->suffix = val;
+}
+
+void ConfigurationText::__set_middle(const std::string& val) {
+  this->middle = val;
+}
+
+void ConfigurationText::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationText& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationText::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->through);
+          this->__isset.through = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefix);
+          this->__isset.prefix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->suffix);
+          this->__isset.suffix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->middle);
+          this->__isset.middle = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigurationText::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationText");
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("through", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->through);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefix", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->prefix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suffix", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->suffix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("middle", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->middle);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationText &a, ConfigurationText &b) {
+  using ::std::swap;
+  swap(a.offset, b.offset);
+  swap(a.through, b.through);
+  swap(a.base, b.base);
+  swap(a.prefix, b.prefix);
+  swap(a.suffix, b.suffix);
+  swap(a.middle, b.middle);
+  swap(a.digest, b.digest);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigurationText::ConfigurationText(const ConfigurationText& other20) {
+  offset = other20.offset;
+  through = other20.through;
+  base = other20.base;
+  prefix = other20.prefix;
+  suffix = other20.suffix;
+  middle = other20.middle;
+  digest = other20.digest;
+  __isset = other20.__isset;
+}
+ConfigurationText::ConfigurationText(ConfigurationText&& other21) noexcept {
+  offset = other21.offset;
+  through = other21.through;
+  base = other21.base;
+  prefix = other21.prefix;
+  suffix = other21.suffix;
+  middle = std::move(other21.middle);
+  digest = other21.digest;
+  __isset = other21.__isset;
+}
+ConfigurationText& ConfigurationText::operator=(const ConfigurationText& other22) {
+  offset = other22.offset;
+  through = other22.through;
+  base = other22.base;
+  prefix = other22.prefix;
+  suffix = other22.suffix;
+  middle = other22.middle;
+  digest = other22.digest;
+  __isset = other22.__isset;
+  return *this;
+}
+ConfigurationText& ConfigurationText::operator=(ConfigurationText&& other23) noexcept {
+  offset = other23.offset;
+  through = other23.through;
+  base = other23.base;
+  prefix = other23.prefix;
+  suffix = other23.suffix;
+  middle = std::move(other23.middle);
+  digest = other23.digest;
+  __isset = other23.__isset;
+  return *this;
+}
+void ConfigurationText::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationText(";
+  out << "offset=" << to_string(offset);
+  out << ", " << "through=" << to_string(through);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "prefix=" << to_string(prefix);
+  out << ", " << "suffix=" << to_string(suffix);
+  out << ", " << "middle=" << to_string(middle);
+  out << ", " << "digest=" << to_string(digest);
   out << ")";
 }
 
@@ -670,18 +1048,18 @@
   (void) b;
 }
 
-Leaving::Leaving(const Leaving& other16) noexcept {
-  (void) other16;
+Leaving::Leaving(const Leaving& other24) noexcept {
+  (void) other24;
 }
-Leaving::Leaving(Leaving&& other17) noexcept {
-  (void) other17;
+Leaving::Leaving(Leaving&& other25) noexcept {
+  (void) other25;
 }
-Leaving& Leaving::operator=(const Leaving& other18) noexcept {
-  (void) other18;
+Leaving& Leaving::operator=(const Leaving& other26) noexcept {
+  (void) other26;
   return *this;
 }
-Leaving& Leaving::operator=(Leaving&& other19) noexcept {
-  (void) other19;
+Leaving& Leaving::operator=(Leaving&& other27) noexcept {
+  (void) other27;
   return *this;
 }
 void Leaving::printTo(std::ostream& out) const {
@@ -987,74 +1365,74 @@
   swap(a.__isset, b.__isset);
 }
 
-Offer::Offer(const Offer& other20) {
-  attempt = other20.attempt;
-  customer = other20.customer;
-  target = other20.target;
-  cost_hint = other20.cost_hint;
-  digest = other20.digest;
-  repeatable = other20.repeatable;
-  key = other20.key;
-  grant = other20.grant;
-  method = other20.method;
-  path = other20.path;
-  content_type = other20.content_type;
-  body = other20.body;
-  customer_name = other20.customer_name;
-  idempotency_key = other20.idempotency_key;
-  __isset = other20.__isset;
+Offer::Offer(const Offer& other28) {
+  attempt = other28.attempt;
+  customer = other28.customer;
+  target = other28.target;
+  cost_hint = other28.cost_hint;
+  digest = other28.digest;
+  repeatable = other28.repeatable;
+  key = other28.key;
+  grant = other28.grant;
+  method = other28.method;
+  path = other28.path;
+  content_type = other28.content_type;
+  body = other28.body;
+  customer_name = other28.customer_name;
+  idempotency_key = other28.idempotency_key;
+  __isset = other28.__isset;
 }
-Offer::Offer(Offer&& other21) noexcept {
-  attempt = std::move(other21.attempt);
-  customer = other21.customer;
-  target = other21.target;
-  cost_hint = other21.cost_hint;
-  digest = other21.digest;
-  repeatable = other21.repeatable;
-  key = other21.key;
-  grant = other21.grant;
-  method = std::move(other21.method);
-  path = std::move(other21.path);
-  content_type = std::move(other21.content_type);
-  body = std::move(other21.body);
-  customer_name = std::move(other21.customer_name);
-  idempotency_key = std::move(other21.idempotency_key);
-  __isset = other21.__isset;
+Offer::Offer(Offer&& other29) noexcept {
+  attempt = std::move(other29.attempt);
+  customer = other29.customer;
+  target = other29.target;
+  cost_hint = other29.cost_hint;
+  digest = other29.digest;
+  repeatable = other29.repeatable;
+  key = other29.key;
+  grant = other29.grant;
+  method = std::move(other29.method);
+  path = std::move(other29.path);
+  content_type = std::move(other29.content_type);
+  body = std::move(other29.body);
+  customer_name = std::move(other29.customer_name);
+  idempotency_key = std::move(other29.idempotency_key);
+  __isset = other29.__isset;
 }
-Offer& Offer::operator=(const Offer& other22) {
-  attempt = other22.attempt;
-  customer = other22.customer;
-  target = other22.target;
-  cost_hint = other22.cost_hint;
-  digest = other22.digest;
-  repeatable = other22.repeatable;
-  key = other22.key;
-  grant = other22.grant;
-  method = other22.method;
-  path = other22.path;
-  content_type = other22.content_type;
-  body = other22.body;
-  customer_name = other22.customer_name;
-  idempotency_key = other22.idempotency_key;
-  __isset = other22.__isset;
+Offer& Offer::operator=(const Offer& other30) {
+  attempt = other30.attempt;
+  customer = other30.customer;
+  target = other30.target;
+  cost_hint = other30.cost_hint;
+  digest = other30.digest;
+  repeatable = other30.repeatable;
+  key = other30.key;
+  grant = other30.grant;
+  method = other30.method;
+  path = other30.path;
+  content_type = other30.content_type;
+  body = other30.body;
+  customer_name = other30.customer_name;
+  idempotency_key = other30.idempotency_key;
+  __isset = other30.__isset;
   return *this;
 }
-Offer& Offer::operator=(Offer&& other23) noexcept {
-  attempt = std::move(other23.attempt);
-  customer = other23.customer;
-  target = other23.target;
-  cost_hint = other23.cost_hint;
-  digest = other23.digest;
-  repeatable = other23.repeatable;
-  key = other23.key;
-  grant = other23.grant;
-  method = std::move(other23.method);
-  path = std::move(other23.path);
-  content_type = std::move(other23.content_type);
-  body = std::move(other23.body);
-  customer_name = std::move(other23.customer_name);
-  idempotency_key = std::move(other23.idempotency_key);
-  __isset = other23.__isset;
+Offer& Offer::operator=(Offer&& other31) noexcept {
+  attempt = std::move(other31.attempt);
+  customer = other31.customer;
+  target = other31.target;
+  cost_hint = other31.cost_hint;
+  digest = other31.digest;
+  repeatable = other31.repeatable;
+  key = other31.key;
+  grant = other31.grant;
+  method = std::move(other31.method);
+  path = std::move(other31.path);
+  content_type = std::move(other31.content_type);
+  body = std::move(other31.body);
+  customer_name = std::move(other31.customer_name);
+  idempotency_key = std::move(other31.idempotency_key);
+  __isset = other31.__isset;
   return *this;
 }
 void Offer::printTo(std::ostream& out) const {
@@ -1153,22 +1531,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Queued::Queued(const Queued& other24) noexcept {
-  attempt = other24.attempt;
-  __isset = other24.__isset;
+Queued::Queued(const Queued& other32) noexcept {
+  attempt = other32.attempt;
+  __isset = other32.__isset;
 }
-Queued::Queued(Queued&& other25) noexcept {
-  attempt = std::move(other25.attempt);
-  __isset = other25.__isset;
+Queued::Queued(Queued&& other33) noexcept {
+  attempt = std::move(other33.attempt);
+  __isset = other33.__isset;
 }
-Queued& Queued::operator=(const Queued& other26) noexcept {
-  attempt = other26.attempt;
-  __isset = other26.__isset;
+Queued& Queued::operator=(const Queued& other34) noexcept {
+  attempt = other34.attempt;
+  __isset = other34.__isset;
   return *this;
 }
-Queued& Queued::operator=(Queued&& other27) noexcept {
-  attempt = std::move(other27.attempt);
-  __isset = other27.__isset;
+Queued& Queued::operator=(Queued&& other35) noexcept {
+  attempt = std::move(other35.attempt);
+  __isset = other35.__isset;
   return *this;
 }
 void Queued::printTo(std::ostream& out) const {
@@ -1254,22 +1632,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Started::Started(const Started& other28) noexcept {
-  attempt = other28.attempt;
-  __isset = other28.__isset;
+Started::Started(const Started& other36) noexcept {
+  attempt = other36.attempt;
+  __isset = other36.__isset;
 }
-Started::Started(Started&& other29) noexcept {
-  attempt = std::move(other29.attempt);
-  __isset = other29.__isset;
+Started::Started(Started&& other37) noexcept {
+  attempt = std::move(other37.attempt);
+  __isset = other37.__isset;
 }
-Started& Started::operator=(const Started& other30) noexcept {
-  attempt = other30.attempt;
-  __isset = other30.__isset;
+Started& Started::operator=(const Started& other38) noexcept {
+  attempt = other38.attempt;
+  __isset = other38.__isset;
   return *this;
 }
-Started& Started::operator=(Started&& other31) noexcept {
-  attempt = std::move(other31.attempt);
-  __isset = other31.__isset;
+Started& Started::operator=(Started&& other39) noexcept {
+  attempt = std::move(other39.attempt);
+  __isset = other39.__isset;
   return *this;
 }
 void Started::printTo(std::ostream& out) const {
@@ -1389,30 +1767,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Head::Head(const Head& other32) {
-  attempt = other32.attempt;
-  status = other32.status;
-  content_type = other32.content_type;
-  __isset = other32.__isset;
+Head::Head(const Head& other40) {
+  attempt = other40.attempt;
+  status = other40.status;
+  content_type = other40.content_type;
+  __isset = other40.__isset;
 }
-Head::Head(Head&& other33) noexcept {
-  attempt = std::move(other33.attempt);
-  status = other33.status;
-  content_type = std::move(other33.content_type);
-  __isset = other33.__isset;
+Head::Head(Head&& other41) noexcept {
+  attempt = std::move(other41.attempt);
+  status = other41.status;
+  content_type = std::move(other41.content_type);
+  __isset = other41.__isset;
 }
-Head& Head::operator=(const Head& other34) {
-  attempt = other34.attempt;
-  status = other34.status;
-  content_type = other34.content_type;
-  __isset = other34.__isset;
+Head& Head::operator=(const Head& other42) {
+  attempt = other42.attempt;
+  status = other42.status;
+  content_type = other42.content_type;
+  __isset = other42.__isset;
   return *this;
 }
-Head& Head::operator=(Head&& other35) noexcept {
-  attempt = std::move(other35.attempt);
-  status = other35.status;
-  content_type = std::move(other35.content_type);
-  __isset = other35.__isset;
+Head& Head::operator=(Head&& other43) noexcept {
+  attempt = std::move(other43.attempt);
+  status = other43.status;
+  content_type = std::move(other43.content_type);
+  __isset = other43.__isset;
   return *this;
 }
 void Head::printTo(std::ostream& out) const {
@@ -1534,30 +1912,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other36) {
-  attempt = other36.attempt;
-  offset = other36.offset;
-  data = other36.data;
-  __isset = other36.__isset;
+Chunk::Chunk(const Chunk& other44) {
+  attempt = other44.attempt;
+  offset = other44.offset;
+  data = other44.data;
+  __isset = other44.__isset;
 }
-Chunk::Chunk(Chunk&& other37) noexcept {
-  attempt = std::move(other37.attempt);
-  offset = other37.offset;
-  data = std::move(other37.data);
-  __isset = other37.__isset;
+Chunk::Chunk(Chunk&& other45) noexcept {
+  attempt = std::move(other45.attempt);
+  offset = other45.offset;
+  data = std::move(other45.data);
+  __isset = other45.__isset;
 }
-Chunk& Chunk::operator=(const Chunk& other38) {
-  attempt = other38.attempt;
-  offset = other38.offset;
-  data = other38.data;
-  __isset = other38.__isset;
+Chunk& Chunk::operator=(const Chunk& other46) {
+  attempt = other46.attempt;
+  offset = other46.offset;
+  data = other46.data;
+  __isset = other46.__isset;
   return *this;
 }
-Chunk& Chunk::operator=(Chunk&& other39) noexcept {
-  attempt = std::move(other39.attempt);
-  offset = other39.offset;
-  data = std::move(other39.data);
-  __isset = other39.__isset;
+Chunk& Chunk::operator=(Chunk&& other47) noexcept {
+  attempt = std::move(other47.attempt);
+  offset = other47.offset;
+  data = std::move(other47.data);
+  __isset = other47.__isset;
   return *this;
 }
 void Chunk::printTo(std::ostream& out) const {
@@ -1696,34 +2074,34 @@
   swap(a.__isset, b.__isset);
 }
 
-End::End(const End& other40) noexcept {
-  attempt = other40.attempt;
-  result = other40.result;
-  reason = other40.reason;
-  length = other40.length;
-  __isset = other40.__isset;
+End::End(const End& other48) noexcept {
+  attempt = other48.attempt;
+  result = other48.result;
+  reason = other48.reason;
+  length = other48.length;
+  __isset = other48.__isset;
 }
-End::End(End&& other41) noexcept {
-  attempt = std::move(other41.attempt);
-  result = other41.result;
-  reason = other41.reason;
-  length = other41.length;
-  __isset = other41.__isset;
+End::End(End&& other49) noexcept {
+  attempt = std::move(other49.attempt);
+  result = other49.result;
+  reason = other49.reason;
+  length = other49.length;
+  __isset = other49.__isset;
 }
-End& End::operator=(const End& other42) noexcept {
-  attempt = other42.attempt;
-  result = other42.result;
-  reason = other42.reason;
-  length = other42.length;
-  __isset = other42.__isset;
+End& End::operator=(const End& other50) noexcept {
+  attempt = other50.attempt;
+  result = other50.result;
+  reason = other50.reason;
+  length = other50.length;
+  __isset = other50.__isset;
   return *this;
 }
-End& End::operator=(End&& other43) noexcept {
-  attempt = std::move(other43.attempt);
-  result = other43.result;
-  reason = other43.reason;
-  length = other43.length;
-  __isset = other43.__isset;
+End& End::operator=(End&& other51) noexcept {
+  attempt = std::move(other51.attempt);
+  result = other51.result;
+  reason = other51.reason;
+  length = other51.length;
+  __isset = other51.__isset;
   return *this;
 }
 void End::printTo(std::ostream& out) const {
@@ -1812,22 +2190,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other44) noexcept {
-  attempt = other44.attempt;
-  __isset = other44.__isset;
+Cancel::Cancel(const Cancel& other52) noexcept {
+  attempt = other52.attempt;
+  __isset = other52.__isset;
 }
-Cancel::Cancel(Cancel&& other45) noexcept {
-  attempt = std::move(other45.attempt);
-  __isset = other45.__isset;
+Cancel::Cancel(Cancel&& other53) noexcept {
+  attempt = std::move(other53.attempt);
+  __isset = other53.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other46) noexcept {
-  attempt = other46.attempt;
-  __isset = other46.__isset;
+Cancel& Cancel::operator=(const Cancel& other54) noexcept {
+  attempt = other54.attempt;
+  __isset = other54.__isset;
   return *this;
 }
-Cancel& Cancel::operator=(Cancel&& other47) noexcept {
-  attempt = std::move(other47.attempt);
-  __isset = other47.__isset;
+Cancel& Cancel::operator=(Cancel&& other55) noexcept {
+  attempt = std::move(other55.attempt);
+  __isset = other55.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -1981,38 +2359,38 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandItem::DemandItem(const DemandItem& other48) noexcept {
-  customer = other48.customer;
-  target = other48.target;
-  count = other48.count;
-  oldest_age_us = other48.oldest_age_us;
-  reach = other48.reach;
-  __isset = other48.__isset;
-}
-DemandItem::DemandItem(DemandItem&& other49) noexcept {
-  customer = other49.customer;
-  target = other49.target;
-  count = other49.count;
-  oldest_age_us = other49.oldest_age_us;
-  reach = other49.reach;
-  __isset = other49.__isset;
-}
-DemandItem& DemandItem::operator=(const DemandItem& other50) noexcept {
-  customer = other50.customer;
-  target = other50.target;
-  count = other50.count;
-  oldest_age_us = other50.oldest_age_us;
-  reach = other50.reach;
-  __isset = other50.__isset;
+DemandItem::DemandItem(const DemandItem& other56) noexcept {
+  customer = other56.customer;
+  target = other56.target;
+  count = other56.count;
+  oldest_age_us = other56.oldest_age_us;
+  reach = other56.reach;
+  __isset = other56.__isset;
+}
+DemandItem::DemandItem(DemandItem&& other57) noexcept {
+  customer = other57.customer;
+  target = other57.target;
+  count = other57.count;
+  oldest_age_us = other57.oldest_age_us;
+  reach = other57.reach;
+  __isset = other57.__isset;
+}
+DemandItem& DemandItem::operator=(const DemandItem& other58) noexcept {
+  customer = other58.customer;
+  target = other58.target;
+  count = other58.count;
+  oldest_age_us = other58.oldest_age_us;
+  reach = other58.reach;
+  __isset = other58.__isset;
   return *this;
 }
-DemandItem& DemandItem::operator=(DemandItem&& other51) noexcept {
-  customer = other51.customer;
-  target = other51.target;
-  count = other51.count;
-  oldest_age_us = other51.oldest_age_us;
-  reach = other51.reach;
-  __isset = other51.__isset;
+DemandItem& DemandItem::operator=(DemandItem&& other59) noexcept {
+  customer = other59.customer;
+  target = other59.target;
+  count = other59.count;
+  oldest_age_us = other59.oldest_age_us;
+  reach = other59.reach;
+  __isset = other59.__isset;
   return *this;
 }
 void DemandItem::printTo(std::ostream& out) const {
@@ -2066,14 +2444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->items.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->items.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->items[_i56].read(iprot);
+              xfer += this->items[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2102,10 +2480,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DemandItem> ::const_iterator _iter57;
-    for (_iter57 = this->items.begin(); _iter57 != this->items.end(); ++_iter57)
+    std::vector<DemandItem> ::const_iterator _iter65;
+    for (_iter65 = this->items.begin(); _iter65 != this->items.end(); ++_iter65)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2122,22 +2500,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other58) {
-  items = other58.items;
-  __isset = other58.__isset;
+Demand::Demand(const Demand& other66) {
+  items = other66.items;
+  __isset = other66.__isset;
 }
-Demand::Demand(Demand&& other59) noexcept {
-  items = std::move(other59.items);
-  __isset = other59.__isset;
+Demand::Demand(Demand&& other67) noexcept {
+  items = std::move(other67.items);
+  __isset = other67.__isset;
 }
-Demand& Demand::operator=(const Demand& other60) {
-  items = other60.items;
-  __isset = other60.__isset;
+Demand& Demand::operator=(const Demand& other68) {
+  items = other68.items;
+  __isset = other68.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other61) noexcept {
-  items = std::move(other61.items);
-  __isset = other61.__isset;
+Demand& Demand::operator=(Demand&& other69) noexcept {
+  items = std::move(other69.items);
+  __isset = other69.__isset;
   return *this;
 }
 void Demand::printTo(std::ostream& out) const {
@@ -2257,30 +2635,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Grant::Grant(const Grant& other62) noexcept {
-  id = other62.id;
-  customer = other62.customer;
-  target = other62.target;
-  __isset = other62.__isset;
+Grant::Grant(const Grant& other70) noexcept {
+  id = other70.id;
+  customer = other70.customer;
+  target = other70.target;
+  __isset = other70.__isset;
 }
-Grant::Grant(Grant&& other63) noexcept {
-  id = other63.id;
-  customer = other63.customer;
-  target = other63.target;
-  __isset = other63.__isset;
+Grant::Grant(Grant&& other71) noexcept {
+  id = other71.id;
+  customer = other71.customer;
+  target = other71.target;
+  __isset = other71.__isset;
 }
-Grant& Grant::operator=(const Grant& other64) noexcept {
-  id = other64.id;
-  customer = other64.customer;
-  target = other64.target;
-  __isset = other64.__isset;
+Grant& Grant::operator=(const Grant& other72) noexcept {
+  id = other72.id;
+  customer = other72.customer;
+  target = other72.target;
+  __isset = other72.__isset;
   return *this;
 }
-Grant& Grant::operator=(Grant&& other65) noexcept {
-  id = other65.id;
-  customer = other65.customer;
-  target = other65.target;
-  __isset = other65.__isset;
+Grant& Grant::operator=(Grant&& other73) noexcept {
+  id = other73.id;
+  customer = other73.customer;
+  target = other73.target;
+  __isset = other73.__isset;
   return *this;
 }
 void Grant::printTo(std::ostream& out) const {
@@ -2368,22 +2746,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Decline::Decline(const Decline& other66) noexcept {
-  id = other66.id;
-  __isset = other66.__isset;
+Decline::Decline(const Decline& other74) noexcept {
+  id = other74.id;
+  __isset = other74.__isset;
 }
-Decline::Decline(Decline&& other67) noexcept {
-  id = other67.id;
-  __isset = other67.__isset;
+Decline::Decline(Decline&& other75) noexcept {
+  id = other75.id;
+  __isset = other75.__isset;
 }
-Decline& Decline::operator=(const Decline& other68) noexcept {
-  id = other68.id;
-  __isset = other68.__isset;
+Decline& Decline::operator=(const Decline& other76) noexcept {
+  id = other76.id;
+  __isset = other76.__isset;
   return *this;
 }
-Decline& Decline::operator=(Decline&& other69) noexcept {
-  id = other69.id;
-  __isset = other69.__isset;
+Decline& Decline::operator=(Decline&& other77) noexcept {
+  id = other77.id;
+  __isset = other77.__isset;
   return *this;
 }
 void Decline::printTo(std::ostream& out) const {
@@ -2449,14 +2827,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->targets.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->targets.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += iprot->readI64(this->targets[_i74]);
+              xfer += iprot->readI64(this->targets[_i82]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2517,10 +2895,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->targets.size()));
-    std::vector<int64_t> ::const_iterator _iter75;
-    for (_iter75 = this->targets.begin(); _iter75 != this->targets.end(); ++_iter75)
+    std::vector<int64_t> ::const_iterator _iter83;
+    for (_iter83 = this->targets.begin(); _iter83 != this->targets.end(); ++_iter83)
     {
-      xfer += oprot->writeI64((*_iter75));
+      xfer += oprot->writeI64((*_iter83));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2557,38 +2935,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentReport::AgentReport(const AgentReport& other76) {
-  targets = other76.targets;
-  free = other76.free;
-  window = other76.window;
-  draining = other76.draining;
-  configuration_offset = other76.configuration_offset;
-  __isset = other76.__isset;
-}
-AgentReport::AgentReport(AgentReport&& other77) noexcept {
-  targets = std::move(other77.targets);
-  free = other77.free;
-  window = other77.window;
-  draining = other77.draining;
-  configuration_offset = other77.configuration_offset;
-  __isset = other77.__isset;
-}
-AgentReport& AgentReport::operator=(const AgentReport& other78) {
-  targets = other78.targets;
-  free = other78.free;
-  window = other78.window;
-  draining = other78.draining;
-  configuration_offset = other78.configuration_offset;
-  __isset = other78.__isset;
+AgentReport::AgentReport(const AgentReport& other84) {
+  targets = other84.targets;
+  free = other84.free;
+  window = other84.window;
+  draining = other84.draining;
+  configuration_offset = other84.configuration_offset;
+  __isset = other84.__isset;
+}
+AgentReport::AgentReport(AgentReport&& other85) noexcept {
+  targets = std::move(other85.targets);
+  free = other85.free;
+  window = other85.window;
+  draining = other85.draining;
+  configuration_offset = other85.configuration_offset;
+  __isset = other85.__isset;
+}
+AgentReport& AgentReport::operator=(const AgentReport& other86) {
+  targets = other86.targets;
+  free = other86.free;
+  window = other86.window;
+  draining = other86.draining;
+  configuration_offset = other86.configuration_offset;
+  __isset = other86.__isset;
   return *this;
 }
-AgentReport& AgentReport::operator=(AgentReport&& other79) noexcept {
-  targets = std::move(other79.targets);
-  free = other79.free;
-  window = other79.window;
-  draining = other79.draining;
-  configuration_offset = other79.configuration_offset;
-  __isset = other79.__isset;
+AgentReport& AgentReport::operator=(AgentReport&& other87) noexcept {
+  targets = std::move(other87.targets);
+  free = other87.free;
+  window = other87.window;
+  draining = other87.draining;
+  configuration_offset = other87.configuration_offset;
+  __isset = other87.__isset;
   return *this;
 }
 void AgentReport::printTo(std::ostream& out) const {
@@ -2681,6 +3059,16 @@
   this->agent_report = val;
 __isset.agent_report = true;
 }
+
+void Message::__set_configuration_request(const ConfigurationRequest& val) {
+  this->configuration_request = val;
+__isset.configuration_request = true;
+}
+
+void Message::__set_configuration_text(const ConfigurationText& val) {
+  this->configuration_text = val;
+__isset.configuration_text = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -2829,6 +3217,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 50:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration_request.read(iprot);
+          this->__isset.configuration_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 51:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration_text.read(iprot);
+          this->__isset.configuration_text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2921,6 +3325,16 @@
     xfer += this->agent_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configuration_request) {
+    xfer += oprot->writeFieldBegin("configuration_request", ::apache::thrift::protocol::T_STRUCT, 50);
+    xfer += this->configuration_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configuration_text) {
+    xfer += oprot->writeFieldBegin("configuration_text", ::apache::thrift::protocol::T_STRUCT, 51);
+    xfer += this->configuration_text.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2943,81 +3357,91 @@
   swap(a.grant, b.grant);
   swap(a.decline, b.decline);
   swap(a.agent_report, b.agent_report);
+  swap(a.configuration_request, b.configuration_request);
+  swap(a.configuration_text, b.configuration_text);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other80) {
-  hello = other80.hello;
-  proof = other80.proof;
-  ping = other80.ping;
-  leaving = other80.leaving;
-  offer = other80.offer;
-  queued = other80.queued;
-  started = other80.started;
-  head = other80.head;
-  chunk = other80.chunk;
-  ended = other80.ended;
-  cancel = other80.cancel;
-  demand = other80.demand;
-  grant = other80.grant;
-  decline = other80.decline;
-  agent_report = other80.agent_report;
-  __isset = other80.__isset;
-}
-Message::Message(Message&& other81) noexcept {
-  hello = std::move(other81.hello);
-  proof = std::move(other81.proof);
-  ping = std::move(other81.ping);
-  leaving = std::move(other81.leaving);
-  offer = std::move(other81.offer);
-  queued = std::move(other81.queued);
-  started = std::move(other81.started);
-  head = std::move(other81.head);
-  chunk = std::move(other81.chunk);
-  ended = std::move(other81.ended);
-  cancel = std::move(other81.cancel);
-  demand = std::move(other81.demand);
-  grant = std::move(other81.grant);
-  decline = std::move(other81.decline);
-  agent_report = std::move(other81.agent_report);
-  __isset = other81.__isset;
-}
-Message& Message::operator=(const Message& other82) {
-  hello = other82.hello;
-  proof = other82.proof;
-  ping = other82.ping;
-  leaving = other82.leaving;
-  offer = other82.offer;
-  queued = other82.queued;
-  started = other82.started;
-  head = other82.head;
-  chunk = other82.chunk;
-  ended = other82.ended;
-  cancel = other82.cancel;
-  demand = other82.demand;
-  grant = other82.grant;
-  decline = other82.decline;
-  agent_report = other82.agent_report;
-  __isset = other82.__isset;
+Message::Message(const Message& other88) {
+  hello = other88.hello;
+  proof = other88.proof;
+  ping = other88.ping;
+  leaving = other88.leaving;
+  offer = other88.offer;
+  queued = other88.queued;
+  started = other88.started;
+  head = other88.head;
+  chunk = other88.chunk;
+  ended = other88.ended;
+  cancel = other88.cancel;
+  demand = other88.demand;
+  grant = other88.grant;
+  decline = other88.decline;
+  agent_report = other88.agent_report;
+  configuration_request = other88.configuration_request;
+  configuration_text = other88.configuration_text;
+  __isset = other88.__isset;
+}
+Message::Message(Message&& other89) noexcept {
+  hello = std::move(other89.hello);
+  proof = std::move(other89.proof);
+  ping = std::move(other89.ping);
+  leaving = std::move(other89.leaving);
+  offer = std::move(other89.offer);
+  queued = std::move(other89.queued);
+  started = std::move(other89.started);
+  head = std::move(other89.head);
+  chunk = std::move(other89.chunk);
+  ended = std::move(other89.ended);
+  cancel = std::move(other89.cancel);
+  demand = std::move(other89.demand);
+  grant = std::move(other89.grant);
+  decline = std::move(other89.decline);
+  agent_report = std::move(other89.agent_report);
+  configuration_request = std::move(other89.configuration_request);
+  configuration_text = std::move(other89.configuration_text);
+  __isset = other89.__isset;
+}
+Message& Message::operator=(const Message& other90) {
+  hello = other90.hello;
+  proof = other90.proof;
+  ping = other90.ping;
+  leaving = other90.leaving;
+  offer = other90.offer;
+  queued = other90.queued;
+  started = other90.started;
+  head = other90.head;
+  chunk = other90.chunk;
+  ended = other90.ended;
+  cancel = other90.cancel;
+  demand = other90.demand;
+  grant = other90.grant;
+  decline = other90.decline;
+  agent_report = other90.agent_report;
+  configuration_request = other90.configuration_request;
+  configuration_text = other90.configuration_text;
+  __isset = other90.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other83) noexcept {
-  hello = std::move(other83.hello);
-  proof = std::move(other83.proof);
-  ping = std::move(other83.ping);
-  leaving = std::move(other83.leaving);
-  offer = std::move(other83.offer);
-  queued = std::move(other83.queued);
-  started = std::move(other83.started);
-  head = std::move(other83.head);
-  chunk = std::move(other83.chunk);
-  ended = std::move(other83.ended);
-  cancel = std::move(other83.cancel);
-  demand = std::move(other83.demand);
-  grant = std::move(other83.grant);
-  decline = std::move(other83.decline);
-  agent_report = std::move(other83.agent_report);
-  __isset = other83.__isset;
+Message& Message::operator=(Message&& other91) noexcept {
+  hello = std::move(other91.hello);
+  proof = std::move(other91.proof);
+  ping = std::move(other91.ping);
+  leaving = std::move(other91.leaving);
+  offer = std::move(other91.offer);
+  queued = std::move(other91.queued);
+  started = std::move(other91.started);
+  head = std::move(other91.head);
+  chunk = std::move(other91.chunk);
+  ended = std::move(other91.ended);
+  cancel = std::move(other91.cancel);
+  demand = std::move(other91.demand);
+  grant = std::move(other91.grant);
+  decline = std::move(other91.decline);
+  agent_report = std::move(other91.agent_report);
+  configuration_request = std::move(other91.configuration_request);
+  configuration_text = std::move(other91.configuration_text);
+  __isset = other91.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3038,6 +3462,8 @@
   out << ", " << "grant="; (__isset.grant ? (out << to_string(grant)) : (out << "<null>"));
   out << ", " << "decline="; (__isset.decline ? (out << to_string(decline)) : (out << "<null>"));
   out << ", " << "agent_report="; (__isset.agent_report ? (out << to_string(agent_report)) : (out << "<null>"));
+  out << ", " << "configuration_request="; (__isset.configuration_request ? (out << to_string(configuration_request)) : (out << "<null>"));
+  out << ", " << "configuration_text="; (__isset.configuration_text ? (out << to_string(configuration_text)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -29,6 +29,10 @@
 
 class Ping;
 
+class ConfigurationRequest;
+
+class ConfigurationText;
+
 class Leaving;
 
 class Offer;
@@ -256,8 +260,10 @@
 std::ostream& operator<<(std::ostream& out, const Proof& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : configuration_offset(false) {}
+  _Ping__isset() : configuration_offset(false), rules_through(false), log_age_ms(false) {}
   bool configuration_offset :1;
+  bool rules_through :1;
+  bool log_age_ms :1;
 } _Ping__isset;
 
 class Ping : public virtual ::apache::thrift::TBase {
@@ -268,20 +274,32 @@
   Ping& operator=(const Ping&) noexcept;
   Ping& operator=(Ping&&) noexcept;
   Ping() noexcept
-       : configuration_offset(0) {
+       : configuration_offset(0),
+         rules_through(0),
+         log_age_ms(0) {
   }
 
   virtual ~Ping() noexcept;
   int64_t configuration_offset;
+  int64_t rules_through;
+  int64_t log_age_ms;
 
   _Ping__isset __isset;
 
   void __set_configuration_offset(const int64_t val);
 
+  void __set_rules_through(const int64_t val);
+
+  void __set_log_age_ms(const int64_t val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(configuration_offset == rhs.configuration_offset))
       return false;
+    if (!(rules_through == rhs.rules_through))
+      return false;
+    if (!(log_age_ms == rhs.log_age_ms))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
@@ -300,6 +318,138 @@
 
 std::ostream& operator<<(std::ostream& out, const Ping& obj);
 
+typedef struct _ConfigurationRequest__isset {
+  _ConfigurationRequest__isset() : have(false) {}
+  bool have :1;
+} _ConfigurationRequest__isset;
+
+class ConfigurationRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationRequest(const ConfigurationRequest&) noexcept;
+  ConfigurationRequest(ConfigurationRequest&&) noexcept;
+  ConfigurationRequest& operator=(const ConfigurationRequest&) noexcept;
+  ConfigurationRequest& operator=(ConfigurationRequest&&) noexcept;
+  ConfigurationRequest() noexcept
+                       : have(0) {
+  }
+
+  virtual ~ConfigurationRequest() noexcept;
+  int64_t have;
+
+  _ConfigurationRequest__isset __isset;
+
+  void __set_have(const int64_t val);
+
+  bool operator == (const ConfigurationRequest & rhs) const
+  {
+    if (!(have == rhs.have))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationRequest &a, ConfigurationRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationRequest& obj);
+
+typedef struct _ConfigurationText__isset {
+  _ConfigurationText__isset() : offset(false), through(false), base(false), prefix(false), suffix(false), middle(false), digest(false) {}
+  bool offset :1;
+  bool through :1;
+  bool base :1;
+  bool prefix :1;
+  bool suffix :1;
+  bool middle :1;
+  bool digest :1;
+} _ConfigurationText__isset;
+
+class ConfigurationText : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationText(const ConfigurationText&);
+  ConfigurationText(ConfigurationText&&) noexcept;
+  ConfigurationText& operator=(const ConfigurationText&);
+  ConfigurationText& operator=(ConfigurationText&&) noexcept;
+  ConfigurationText() noexcept
+                    : offset(0),
+                      through(0),
+                      base(0),
+                      prefix(0),
+                      suffix(0),
+                      middle(),
+                      digest(0) {
+  }
+
+  virtual ~ConfigurationText() noexcept;
+  int64_t offset;
+  int64_t through;
+  int64_t base;
+  int64_t prefix;
+  int64_t suffix;
+  std::string middle;
+  int64_t digest;
+
+  _ConfigurationText__isset __isset;
+
+  void __set_offset(const int64_t val);
+
+  void __set_through(const int64_t val);
+
+  void __set_base(const int64_t val);
+
+  void __set_prefix(const int64_t val);
+
+  void __set_suffix(const int64_t val);
+
+  void __set_middle(const std::string& val);
+
+  void __set_digest(const int64_t val);
+
+  bool operator == (const ConfigurationText & rhs) const
+  {
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(through == rhs.through))
+      return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(prefix == rhs.prefix))
+      return false;
+    if (!(suffix == rhs.suffix))
+      return false;
+    if (!(middle == rhs.middle))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationText &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationText & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationText &a, ConfigurationText &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationText& obj);
+
 
 class Leaving : public virtual ::apache::thrift::TBase {
  public:
@@ -1075,7 +1225,7 @@
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false) {}
+  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false), configuration_request(false), configuration_text(false) {}
   bool hello :1;
   bool proof :1;
   bool ping :1;
@@ -1091,6 +1241,8 @@
   bool grant :1;
   bool decline :1;
   bool agent_report :1;
+  bool configuration_request :1;
+  bool configuration_text :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1119,6 +1271,8 @@
   Grant grant;
   Decline decline;
   AgentReport agent_report;
+  ConfigurationRequest configuration_request;
+  ConfigurationText configuration_text;
 
   _Message__isset __isset;
 
@@ -1152,6 +1306,10 @@
 
   void __set_agent_report(const AgentReport& val);
 
+  void __set_configuration_request(const ConfigurationRequest& val);
+
+  void __set_configuration_text(const ConfigurationText& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1214,6 +1372,14 @@
       return false;
     else if (__isset.agent_report && !(agent_report == rhs.agent_report))
       return false;
+    if (__isset.configuration_request != rhs.__isset.configuration_request)
+      return false;
+    else if (__isset.configuration_request && !(configuration_request == rhs.configuration_request))
+      return false;
+    if (__isset.configuration_text != rhs.__isset.configuration_text)
+      return false;
+    else if (__isset.configuration_text && !(configuration_text == rhs.configuration_text))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -27,6 +27,26 @@
 
 struct Ping {
   1: i64 configuration_offset
+  // Every record of the stream of rules before this offset is accounted for.
+  2: i64 rules_through
+  // Time since the stream was last known to be read to its end; -1 if never.
+  3: i64 log_age_ms
+}
+
+struct ConfigurationRequest {
+  // Offset of the configuration that the sender has.
+  1: i64 have
+}
+
+// A configuration as a change of the one at `base`; -1 is the empty text.
+struct ConfigurationText {
+  1: i64 offset
+  2: i64 through
+  3: i64 base
+  4: i64 prefix
+  5: i64 suffix
+  6: binary middle
+  7: i64 digest
 }
 
 // A process is about to leave.
@@ -135,4 +155,6 @@
   13: Grant grant
   14: Decline decline
   15: AgentReport agent_report
+  50: ConfigurationRequest configuration_request
+  51: ConfigurationText configuration_text
 }
--- /dev/null
+++ b/tests/proofs/membership_test.cc
@@ -0,0 +1,123 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "lagoonwind/policy.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+using std::chrono::seconds;
+
+Member Agent(std::string address) {
+  return {.id = HandleOf<MemberId>("agent"),
+          .name = "agent",
+          .role = Role::kAgent,
+          .address = std::move(address)};
+}
+
+const Member kOther{.id = HandleOf<MemberId>("other"), .name = "other", .role = Role::kEntry};
+
+template <class ActionType>
+const ActionType* Find(const std::vector<Action>& actions) {
+  const auto found = std::ranges::find_if(
+      actions, [](const Action& action) { return std::holds_alternative<ActionType>(action); });
+  return found == actions.end() ? nullptr : &std::get<ActionType>(*found);
+}
+
+/// An entry that is linked to one agent.
+struct LinkedEntry {
+  std::unique_ptr<Policy> entry = MakePolicy({.role = Role::kEntry, .name = "entry"});
+  Time now{seconds(1)};
+
+  LinkedEntry() {
+    Step(MembersListed{.members = {Agent("a:1")}});
+    Step(LinkUp{.member = Agent("a:1"), .incarnation = {1}});
+  }
+  std::vector<Action> Step(const Event& event) {
+    return entry->Step(now, std::vector<Event>{event});
+  }
+  std::vector<Action> After(seconds time) {
+    now += time;
+    return entry->Step(now, {});
+  }
+  /// What the entry knows of the agent.
+  [[nodiscard]] MemberStats member() const {
+    const auto members = entry->stats().members;
+    const auto id = [](const MemberStats& row) { return row.member.id; };
+    return *std::ranges::find(members, Agent("").id, id);
+  }
+};
+
+TEST_CASE("an empty or stale host list takes no live link down") {
+  for (const bool empty : {true, false}) {
+    LinkedEntry fleet;
+    const MembersListed list{.members = empty ? std::vector<Member>{} : std::vector{kOther}};
+    CHECK_FALSE(Find<CloseLink>(fleet.Step(list)));
+    CHECK_FALSE(Find<CloseLink>(fleet.After(seconds(600))));
+    CHECK(fleet.member().linked);
+    // A link that breaks meanwhile is still wanted for a while; the runtime opens it again.
+    CHECK_FALSE(Find<CloseLink>(fleet.Step(LinkDown{.member = Agent("").id})));
+    CHECK_FALSE(Find<CloseLink>(fleet.After(seconds(30))));
+    const bool closed = Find<CloseLink>(fleet.After(seconds(31))) != nullptr;
+    CHECK(closed == !empty);
+  }
+}
+
+TEST_CASE("a member whose address changed is opened at the new one") {
+  LinkedEntry fleet;
+  CHECK_FALSE(Find<OpenLink>(fleet.Step(MembersListed{.members = {Agent("b:2")}})));
+  const auto actions = fleet.Step(LinkDown{.member = Agent("").id});
+  REQUIRE(Find<OpenLink>(actions));
+  CHECK(Find<OpenLink>(actions)->member.address == "b:2");
+}
+
+TEST_CASE("a leaving word counts at once and ends with the incarnation that gave it") {
+  LinkedEntry fleet;
+  fleet.Step(MemberLeaving{.member = Agent("").id});
+  CHECK(fleet.member().member.leaving);
+  fleet.Step(MembersListed{.members = {Agent("a:1")}});
+  CHECK(fleet.member().member.leaving);
+  fleet.Step(LinkUp{.member = Agent("a:1"), .incarnation = {1}});
+  CHECK(fleet.member().member.leaving);
+  fleet.Step(LinkUp{.member = Agent("a:1"), .incarnation = {2}});
+  CHECK_FALSE(fleet.member().member.leaving);
+}
+
+TEST_CASE("an agent that said that it leaves gets no new request") {
+  LinkedEntry fleet;
+  auto parsed = ParseRules("model crest # asked by: c\n");
+  parsed.configuration.offset = 0;
+  fleet.Step(ConfigurationAccepted{
+      std::make_shared<const Configuration>(std::move(parsed.configuration))});
+  const auto crest = HandleOf<TargetId>("crest");
+  fleet.Step(AgentReported{.agent = Agent("").id, .report = {.targets = {crest}, .free = 9}});
+  const auto arrive = [&](std::uint64_t number) {
+    return fleet.Step(
+        RequestArrived{.id = {.entry = {1}, .number = number}, .traits = {.target = crest}});
+  };
+  CHECK(Find<SendOffer>(arrive(1)));
+  fleet.Step(MemberLeaving{.member = Agent("").id});
+  CHECK_FALSE(Find<SendOffer>(arrive(2)));
+}
+
+TEST_CASE("a process that drains says so to all, and to whoever links to it later") {
+  LinkedEntry fleet;
+  CHECK(Find<SendLeaving>(fleet.Step(DrainRequested{})));
+  const auto actions = fleet.Step(LinkUp{.member = kOther, .incarnation = {1}});
+  REQUIRE(Find<SendLeaving>(actions));
+  CHECK(Find<SendLeaving>(actions)->member == kOther.id);
+}
+
+TEST_CASE("a process that the platform lists as leaving takes no new work while it is listed so") {
+  LinkedEntry fleet;
+  Member self{.id = HandleOf<MemberId>("entry"), .name = "entry", .leaving = true};
+  fleet.Step(MembersListed{.members = {self}});
+  CHECK(fleet.entry->stats().closed == Reason::kDraining);
+  self.leaving = false;
+  fleet.Step(MembersListed{.members = {self}});
+  CHECK(fleet.entry->stats().closed == Reason::kNone);
+}
+
+}  // namespace
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/tests/proofs/restart_test.cc
@@ -0,0 +1,135 @@
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "virtual_fleet.h"
+
+namespace lagoonwind::testing {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+std::string Rules(std::uint64_t number) {
+  return "zone z" + std::to_string(number % 3) + " out # asked by: change " +
+         std::to_string(number) + "\n";
+}
+
+/// Runs until the fleet has the configuration; false if it never did.
+bool Converges(VirtualFleet& fleet, std::int64_t offset) {
+  return fleet.RunUntil([&] { return fleet.InForce(offset); }, minutes(2)) < seconds(19);
+}
+
+TEST_CASE("restarted processes take the rules from peers while the log is down") {
+  VirtualFleet fleet({});
+  REQUIRE(Converges(fleet, 0));
+  const auto offset = fleet.Apply(Rules(1));
+  REQUIRE(Converges(fleet, offset));
+  fleet.log().down = true;
+  for (int i = 0; i < fleet.size(); ++i) {
+    fleet.Restart(i);
+    CHECK(fleet.stats(i).configuration_offset == -1);
+    CHECK(fleet.RunUntil([&] { return fleet.InForce(offset); }, minutes(1)) < seconds(2));
+  }
+}
+
+TEST_CASE("a fleet that restarts whole while the log is down waits for it") {
+  VirtualFleet fleet({});
+  REQUIRE(Converges(fleet, 0));
+  fleet.log().down = true;
+  for (int i = 0; i < fleet.size(); ++i) {
+    fleet.Restart(i);
+  }
+  fleet.Run(minutes(5));
+  CHECK(fleet.InForce(-1));
+  fleet.log().down = false;
+  CHECK(Converges(fleet, 0));
+}
+
+TEST_CASE("readers that die are replaced, and new rules still come into force in time") {
+  VirtualFleet fleet({.entries = 10, .agents = 20, .links = 8});
+  REQUIRE(Converges(fleet, 0));
+  fleet.Run(seconds(5));
+  int killed = 0;
+  for (int i = 0; i < fleet.size(); ++i) {
+    if (fleet.stats(i).reads_log) {
+      fleet.Kill(i);
+      ++killed;
+    }
+  }
+  CHECK(killed >= 3);
+  CHECK(killed < 8);
+  CHECK(Converges(fleet, fleet.Apply(Rules(1))));
+}
+
+TEST_CASE("snapshots keep the rules through a log that forgets, and a fresh fleet finds them") {
+  VirtualFleet fleet({});
+  REQUIRE(Converges(fleet, 0));
+  const auto offset = fleet.Apply(Rules(1));
+  for (int i = 0; i < 12; ++i) {
+    fleet.Run(minutes(15));
+    // Records older than about half an hour are dropped.
+    const auto kept = static_cast<std::int64_t>(fleet.log().records.size()) - 3;
+    fleet.log().first = std::max(fleet.log().first, kept);
+  }
+  CHECK(fleet.log().first > offset);
+  CHECK(fleet.log().appends < 40);
+  for (int i = 0; i < fleet.size(); ++i) {
+    fleet.Kill(i);
+  }
+  for (int i = 0; i < fleet.size(); ++i) {
+    fleet.Restart(i);
+  }
+  CHECK(Converges(fleet, offset));
+}
+
+TEST_CASE("random faults: no process goes back, and the healed fleet has the last rules") {
+  for (unsigned seed = 1; seed <= 12; ++seed) {
+    std::mt19937 random(seed);
+    VirtualFleet fleet({.entries = 4, .agents = 8, .links = 5});
+    std::int64_t offset = 0;
+    for (int round = 0; round < 60; ++round) {
+      const int i = static_cast<int>(random() % 12);
+      const bool fault = random() % 2 == 0;
+      switch (random() % 7) {
+        case 0:
+          fleet.Kill(i);
+          break;
+        case 1:
+          fleet.Restart(i);
+          break;
+        case 2:
+          fleet.Freeze(i, fault);
+          break;
+        case 3:
+          fleet.CutFromLog(i, fault);
+          break;
+        case 4:
+          fleet.CutFromLinks(i, fault);
+          break;
+        case 5:
+          fleet.CutZone(i % 3, fault);
+          break;
+        default:
+          fleet.log().down = fault;
+          offset = fleet.Apply(Rules(random()));
+      }
+      fleet.Run(std::chrono::milliseconds(random() % 4000));
+    }
+    fleet.log().down = false;
+    for (int i = 0; i < fleet.size(); ++i) {
+      fleet.Freeze(i, false);
+      fleet.CutFromLinks(i, false);
+      fleet.CutFromLog(i, false);
+      fleet.CutZone(i % 3, false);
+      if (!fleet.alive(i)) {
+        fleet.Restart(i);
+      }
+    }
+    CHECK(Converges(fleet, offset));
+    CHECK_FALSE(fleet.went_back());
+  }
+}
+
+}  // namespace
+}  // namespace lagoonwind::testing
--- /dev/null
+++ b/tests/proofs/zone_test.cc
@@ -0,0 +1,162 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "virtual_fleet.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using testing::VirtualFleet;
+
+constexpr int kZones = 3;
+constexpr seconds kZoneOutTarget{3};
+/// Silence after which a link counts as lost, and the heartbeats and steps around it.
+constexpr milliseconds kCutOffBound{4500};
+constexpr std::string_view kIn = "zone z0 in # asked by: test\n";
+constexpr std::string_view kOut = "zone z0 out # asked by: night shift, storm\n";
+
+int Closed(const VirtualFleet& fleet, int zone, Reason reason) {
+  int count = 0;
+  for (int i = 0; i < fleet.size(); ++i) {
+    count += fleet.zone(i) == zone && fleet.alive(i) && fleet.stats(i).closed == reason ? 1 : 0;
+  }
+  return count;
+}
+
+int AllClosed(const VirtualFleet& fleet, Reason reason) {
+  return Closed(fleet, 0, reason) + Closed(fleet, 1, reason) + Closed(fleet, 2, reason);
+}
+
+/// A fleet of three zones, three processes each, with the first rules in force.
+VirtualFleet ReadyFleet() {
+  VirtualFleet fleet({});
+  REQUIRE(fleet.RunUntil([&] { return fleet.InForce(0); }, seconds(10)) < seconds(10));
+  fleet.Run(seconds(5));
+  return fleet;
+}
+
+template <class ActionType>
+const ActionType* Find(const std::vector<Action>& actions) {
+  const auto found = std::ranges::find_if(
+      actions, [](const Action& action) { return std::holds_alternative<ActionType>(action); });
+  return found == actions.end() ? nullptr : &std::get<ActionType>(*found);
+}
+
+TEST_CASE("a zone that is taken out takes no new work within three seconds, and only that zone") {
+  VirtualFleet fleet = ReadyFleet();
+  for (int round = 0; round < 20; ++round) {
+    fleet.Run(milliseconds(370));
+    fleet.Apply(std::string(kOut));
+    CHECK(fleet.RunUntil([&] { return Closed(fleet, 0, Reason::kZoneOut) == 3; }, seconds(9)) <
+          kZoneOutTarget);
+    CHECK(AllClosed(fleet, Reason::kNone) == 6);
+    fleet.Apply(std::string(kIn));
+    CHECK(fleet.RunUntil([&] { return AllClosed(fleet, Reason::kNone) == 9; }, seconds(9)) <
+          kZoneOutTarget);
+  }
+}
+
+TEST_CASE("an outage of the log alone closes nothing and costs few reads") {
+  VirtualFleet fleet = ReadyFleet();
+  fleet.log().down = true;
+  const auto reads = fleet.log().reads;
+  for (int i = 0; i < 60; ++i) {
+    fleet.Run(seconds(10));
+    CHECK(AllClosed(fleet, Reason::kNone) == 9);
+  }
+  CHECK(fleet.log().reads - reads < 9U * 600U / 3U);
+  fleet.log().down = false;
+  const auto offset = fleet.Apply(std::string(kOut));
+  CHECK(fleet.RunUntil([&] { return fleet.InForce(offset); }, minutes(1)) < seconds(19));
+}
+
+TEST_CASE("a zone that is cut off takes no new work, also once it was taken out and healed") {
+  VirtualFleet fleet = ReadyFleet();
+  fleet.CutZone(0, true);
+  CHECK(fleet.RunUntil([&] { return Closed(fleet, 0, Reason::kCutOff) == 3; }, seconds(30)) <
+        kCutOffBound);
+  const auto offset = fleet.Apply(std::string(kOut));
+  fleet.Run(minutes(2));
+  CHECK(Closed(fleet, 0, Reason::kNone) == 0);
+  CHECK(AllClosed(fleet, Reason::kNone) == 6);
+  fleet.CutZone(0, false);
+  bool opened = false;
+  const auto healed = [&] {
+    opened = opened || Closed(fleet, 0, Reason::kNone) > 0;
+    return fleet.InForce(offset);
+  };
+  CHECK(fleet.RunUntil(healed, minutes(1)) < seconds(19));
+  CHECK_FALSE(opened);
+  CHECK(Closed(fleet, 0, Reason::kZoneOut) == 3);
+}
+
+TEST_CASE("a process cut off from the log, or from its links, still learns of new rules") {
+  for (const bool from_log : {true, false}) {
+    for (int i = 0; i < 9; ++i) {
+      VirtualFleet fleet = ReadyFleet();
+      if (from_log) {
+        fleet.CutFromLog(i, true);
+      } else {
+        fleet.CutFromLinks(i, true);
+      }
+      fleet.Run(seconds(20));
+      const auto offset = fleet.Apply(std::string(kOut));
+      CHECK(fleet.RunUntil([&] { return fleet.InForce(offset); }, minutes(1)) < seconds(5));
+    }
+  }
+}
+
+TEST_CASE("a process that was paused starts nothing before it heard what it missed") {
+  for (int i = 0; i < 9; i += kZones) {
+    VirtualFleet fleet = ReadyFleet();
+    fleet.Freeze(i, true);
+    fleet.Run(seconds(2));
+    fleet.Apply(std::string(kOut));
+    fleet.Run(seconds(20));
+    fleet.Freeze(i, false);
+    fleet.Run(milliseconds(110));
+    bool opened = false;
+    const auto caught_up = [&] {
+      opened = opened || fleet.stats(i).closed == Reason::kNone;
+      return fleet.stats(i).closed == Reason::kZoneOut;
+    };
+    CHECK(fleet.RunUntil(caught_up, seconds(10)) < seconds(10));
+    CHECK_FALSE(opened);
+  }
+}
+
+TEST_CASE("zone out and an engine's crash together: nothing new starts, what runs goes on") {
+  auto agent = MakePolicy({.role = Role::kAgent, .name = "agent", .zone = "z0"});
+  const auto rules = [](std::int64_t offset, std::string_view zone) {
+    auto parsed = ParseRules(std::string(zone) + "model crest # asked by: c\n");
+    parsed.configuration.offset = offset;
+    return std::make_shared<const Configuration>(std::move(parsed.configuration));
+  };
+  const auto offer = [](std::uint64_t number) {
+    return OfferReceived{.entry = HandleOf<MemberId>("entry"),
+                         .attempt = {.request = {.entry = {1}, .number = number}, .attempt = 1},
+                         .traits = {.target = HandleOf<TargetId>("crest")}};
+  };
+  const BackendObserved up{
+      .reachable = true, .instance = 1, .targets = {HandleOf<TargetId>("crest")}};
+  const Time start{seconds(1)};
+  CHECK(Find<StartAttempt>(
+      agent->Step(start, std::vector<Event>{ConfigurationAccepted{rules(0, kIn)}, up, offer(1)})));
+  const auto out = agent->Step(start, std::vector<Event>{ConfigurationAccepted{rules(1, kOut)},
+                                                         BackendObserved{}, offer(2)});
+  REQUIRE(Find<RefuseAttempt>(out));
+  CHECK(Find<RefuseAttempt>(out)->reason == Reason::kZoneOut);
+  CHECK_FALSE(Find<CancelAttempt>(out));
+  const BackendObserved restarted{.reachable = true, .instance = 2, .targets = up.targets};
+  CHECK_FALSE(Find<StartAttempt>(agent->Step(start, std::vector<Event>{restarted, offer(3)})));
+  // An older version that arrives late doesn't bring the zone back.
+  CHECK_FALSE(Find<StartAttempt>(
+      agent->Step(start, std::vector<Event>{ConfigurationAccepted{rules(0, kIn)}, offer(4)})));
+}
+
+}  // namespace
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/tests/support/virtual_fleet.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lagoonwind/policy.h"
+#include "lagoonwind/rules_history.h"
+
+/// \file
+/// Many processes' decisions in virtual time, over a fake log and fake links with faults.
+namespace lagoonwind::testing {
+
+struct VirtualFleetOptions {
+  int entries = 3;
+  int agents = 6;
+  int zones = 3;
+  /// Agents that each entry is linked to; 0 means all.
+  int links = 0;
+  std::string rules = "zone z0 in # asked by: test\n";
+  Duration latency = std::chrono::milliseconds(1);
+  Duration log_latency = std::chrono::milliseconds(5);
+};
+
+/// The platform's stream of rules.
+struct VirtualLog {
+  std::vector<std::string> records;
+  std::int64_t first = 0;
+  bool down = false;
+  std::uint64_t reads = 0;
+  std::uint64_t appends = 0;
+};
+
+/// Processes are numbered: entries first, then agents; process i is in zone i % zones. Not thread
+/// safe.
+class VirtualFleet {
+ public:
+  explicit VirtualFleet(const VirtualFleetOptions& options);
+
+  /// Appends rules as an operator that knows what is in force. \return Offset of the record.
+  std::int64_t Apply(const std::string& text);
+  /// Gives the host list to every process.
+  void PublishHosts();
+  void Run(Duration time);
+  /// Runs until the condition holds. \return The time that it took, or `most` if it never did.
+  Duration RunUntil(const std::function<bool()>& condition, Duration most);
+
+  void Kill(int i);
+  /// Starts a process anew, with empty memory.
+  void Restart(int i);
+  void Freeze(int i, bool frozen) { processes_[Index(i)].frozen = frozen; }
+  void CutFromLog(int i, bool cut) { processes_[Index(i)].log_cut = cut; }
+  void CutFromLinks(int i, bool cut) { processes_[Index(i)].links_cut = cut; }
+  /// Cuts a zone off from the log and from all other zones.
+  void CutZone(int zone, bool cut);
+  void Post(int i, policy::Event event);
+
+  [[nodiscard]] int size() const { return static_cast<int>(processes_.size()); }
+  [[nodiscard]] int zone(int i) const { return i % options_.zones; }
+  [[nodiscard]] bool alive(int i) const { return processes_[Index(i)].policy != nullptr; }
+  /// Stats of a living process.
+  [[nodiscard]] policy::Stats stats(int i) const { return processes_[Index(i)].policy->stats(); }
+  /// True if every living process that isn't frozen has the configuration.
+  [[nodiscard]] bool InForce(std::int64_t offset) const;
+  /// Bytes that a process sent on links.
+  [[nodiscard]] std::uint64_t bytes(int i) const { return processes_[Index(i)].bytes; }
+  /// True if some process went back to an older configuration without a restart.
+  [[nodiscard]] bool went_back() const { return went_back_; }
+  VirtualLog& log() { return log_; }
+  [[nodiscard]] Time now() const { return now_; }
+
+ private:
+  struct Delivery {
+    Time at;
+    policy::Event event;
+  };
+  struct Process {
+    policy::Member member;
+    std::unique_ptr<policy::Policy> policy;
+    std::uint64_t starts = 0;
+    bool frozen = false;
+    bool log_cut = false;
+    bool links_cut = false;
+    bool zone_cut = false;
+    std::vector<Delivery> inbox;
+    std::vector<std::size_t> links;
+    policy::AnnounceVersion version;
+    std::uint64_t bytes = 0;
+    Time next_step;
+  };
+  struct Link {
+    int entry = 0;
+    int agent = 0;
+    bool up = false;
+    Time heard;
+    Time next_ping;
+  };
+
+  static std::size_t Index(int i) { return static_cast<std::size_t>(i); }
+  void Tick();
+  void UpdateLink(Link& link);
+  [[nodiscard]] bool Reachable(const Link& link) const;
+  void SetUp(Link& link, bool up);
+  void SendVersion(int from, int to);
+  void Step(int i);
+  void Execute(int i, const policy::Action& action);
+  void Read(int i, std::int64_t from);
+  void SendConfiguration(int i, const policy::SendConfiguration& text);
+  /// Delivers over the link between two processes, if it is up and reachable.
+  void Send(int from, int to, policy::Event event, std::size_t bytes);
+  [[nodiscard]] int IndexOf(MemberId member) const;
+  template <class Visit>
+  void ForEachPeer(int i, const Visit& visit);
+
+  VirtualFleetOptions options_;
+  VirtualLog log_;
+  std::vector<Process> processes_;
+  std::vector<Link> links_;
+  std::vector<policy::Member> hosts_;
+  Time now_{std::chrono::seconds(1)};
+  bool went_back_ = false;
+};
+
+}  // namespace lagoonwind::testing
--- /dev/null
+++ b/tools/spread_experiment.cc
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "virtual_fleet.h"
+
+/// Measures in virtual time how rules spread through fleets of growing size; prints CSV.
+namespace {
+
+using lagoonwind::Duration;
+using lagoonwind::testing::VirtualFleet;
+using lagoonwind::testing::VirtualFleetOptions;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Size {
+  int entries;
+  int agents;
+  int zones;
+  int links;
+};
+
+/// Customers of the letter for each agent of the letter.
+constexpr int kCustomersPerAgent = 6;
+constexpr int kChanges = 5;
+
+std::string RulesOf(int customers, int change) {
+  std::string text;
+  for (int i = 0; i < customers; ++i) {
+    std::string digest = std::to_string(i);
+    digest.insert(0, 64 - digest.size(), 'a');
+    text += "customer customer-" + std::to_string(i) + " share 1 token sha256:" + digest +
+            " queue 200  # asked by: account team, contract\n";
+  }
+  return text + "zone z0 " + (change % 2 == 1 ? "out" : "in") + "  # asked by: night shift\n";
+}
+
+double Milliseconds(Duration time) { return static_cast<double>(time.count()) / 1000.0; }
+
+std::uint64_t MostBytes(const VirtualFleet& fleet, const std::vector<std::uint64_t>& before) {
+  std::uint64_t most = 0;
+  for (int i = 0; i < fleet.size(); ++i) {
+    most = std::max(most, fleet.bytes(i) - before[static_cast<std::size_t>(i)]);
+  }
+  return most;
+}
+
+std::vector<std::uint64_t> Bytes(const VirtualFleet& fleet) {
+  std::vector<std::uint64_t> bytes(static_cast<std::size_t>(fleet.size()));
+  std::ranges::generate(bytes, [&fleet, i = 0]() mutable { return fleet.bytes(i++); });
+  return bytes;
+}
+
+void Measure(const Size& size) {
+  const int customers = kCustomersPerAgent * size.agents;
+  VirtualFleet fleet(VirtualFleetOptions{.entries = size.entries,
+                                         .agents = size.agents,
+                                         .zones = size.zones,
+                                         .links = size.links,
+                                         .rules = RulesOf(customers, 0)});
+  const Duration cold = fleet.RunUntil([&] { return fleet.InForce(0); }, seconds(60));
+  fleet.Run(seconds(5));
+  auto before = Bytes(fleet);
+  const auto reads = fleet.log().reads;
+  constexpr seconds kIdle{10};
+  fleet.Run(kIdle);
+  const auto idle = MostBytes(fleet, before) / kIdle.count();
+  const double reads_a_second = static_cast<double>(fleet.log().reads - reads) / kIdle.count();
+  Duration slowest{0};
+  Duration last_work{0};
+  std::uint64_t change_bytes = 0;
+  for (int change = 1; change <= kChanges; ++change) {
+    before = Bytes(fleet);
+    // Changes fall at different times between two reads of the log.
+    const auto offset = fleet.Apply(RulesOf(customers, change));
+    const Duration took = fleet.RunUntil([&] { return fleet.InForce(offset); }, seconds(60));
+    slowest = std::max(slowest, took);
+    if (change % 2 == 1) {
+      last_work = std::max(last_work, took);
+    }
+    change_bytes = std::max(change_bytes, MostBytes(fleet, before));
+    fleet.Run(milliseconds(2110));
+  }
+  std::printf("%d,%d,%d,%.0f,%.0f,%.0f,%llu,%llu,%.1f,%llu\n", fleet.size(), customers, size.links,
+              Milliseconds(cold), Milliseconds(slowest), Milliseconds(last_work),
+              static_cast<unsigned long long>(idle), static_cast<unsigned long long>(change_bytes),
+              reads_a_second, static_cast<unsigned long long>(fleet.log().appends));
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int main() {
+  std::puts(
+      "processes,customers,links_of_entry,cold_start_ms,in_force_ms,zone_out_last_work_ms,"
+      "idle_bytes_per_s,bytes_in_change,log_reads_per_s,log_appends");
+  for (const Size& size : {Size{2, 5, 3, 0}, Size{8, 12, 3, 0}, Size{40, 60, 6, 20},
+                           Size{160, 240, 6, 20}, Size{410, 600, 6, 20}}) {
+    Measure(size);
+  }
+  return 0;
+}
