--- a/packages/base/include/lagoonwind/base.h
+++ b/packages/base/include/lagoonwind/base.h
@@ -40,6 +40,8 @@
 using GrantId = Handle<struct GrantTag>;
 /// One run of a daemon; a restart gives a new one.
 using Incarnation = Handle<struct IncarnationTag>;
+/// One claim of an idempotency key; every claim that any agent makes has its own.
+using ClaimNonce = Handle<struct ClaimNonceTag>;
 /// Digest of a request's content.
 using Digest = Handle<struct DigestTag>;
 
--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -69,4 +69,29 @@
 /// Interval between observations of a backend server by its agent.
 inline constexpr milliseconds kBackendPollInterval{500};
 
+// Claims of calls that may run once.
+
+/// Number of log streams that claims are split over by the hash of their key.
+inline constexpr std::uint32_t kClaimStreams = 8;
+/// Time from an offer to the start of its run within which a claim must be settled.
+inline constexpr milliseconds kClaimTimeout{3000};
+/// Interval between tries to append a release or a completion, or to read a stream at the start.
+inline constexpr milliseconds kClaimRetryInterval{500};
+/// Largest number of claim records in one append.
+inline constexpr std::size_t kMaxClaimBatch = 256;
+/// Largest number of releases and completions that wait for the log; the oldest are dropped.
+inline constexpr std::size_t kMaxClaimOutbox = 4096;
+/// Largest answer that is kept for calls with the same key, in bytes.
+inline constexpr std::size_t kMaxKeptAnswerBytes = 16U << 10U;
+/// Largest number of kept answers in each stream.
+inline constexpr std::size_t kMaxKeptAnswers = 256;
+/// Time that a finished answer is kept.
+inline constexpr seconds kKeptAnswerTime{600};
+/// Time in which an idempotency key is remembered unless its target's rule says otherwise.
+inline constexpr seconds kDefaultKeyWindow{24 * 3600};
+/// Time beyond the window that claims are remembered; covers clock skew and waiting at entries.
+inline constexpr seconds kClaimGrace{300};
+/// Number of attempts that an agent remembers, so that an offer is taken once.
+inline constexpr std::size_t kMaxSeenOffers = 16384;
+
 }  // namespace lagoonwind::limits
--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -107,6 +107,45 @@
   bool repeatable = true;
   /// Digest of customer and idempotency key; invalid without a key.
   Digest key;
+  /// Age of the key if it tells when it was made (a UUID of version 7), else 0.
+  Duration key_age{0};
+};
+
+/// A whole answer, kept for further calls with the same key. Immutable once shared.
+struct KeptAnswer {
+  unsigned status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+enum class ClaimKind {
+  /// The agent wants to run the call.
+  kClaim,
+  /// The claim with this nonce never ran and never will; it is void before and after this record.
+  kRelease,
+  /// The run is over and its whole answer was sent on.
+  kCompletion,
+};
+
+/// What an agent appends to a claim stream of the platform's log.
+struct ClaimRecord {
+  ClaimKind kind = ClaimKind::kClaim;
+  Digest key;
+  /// Digest of the request that claims the key.
+  Digest content;
+  CustomerId customer;
+  ClaimNonce nonce;
+  Incarnation agent;
+  /// Only in a completion, and only if the answer is small enough to be kept.
+  std::shared_ptr<const KeptAnswer> answer;
+};
+
+/// A record as the log keeps it.
+struct StoredClaim {
+  std::int64_t offset = 0;
+  /// Time since the record was written, by the wall clocks of its writer and its reader.
+  Duration age{0};
+  ClaimRecord record;
 };
 
 // Events of both roles.
@@ -203,6 +242,8 @@
   AttemptId attempt;
   AttemptResult result = AttemptResult::kUnknown;
   Reason reason = Reason::kNone;
+  /// Whole answer of a call with a key; null if it is too large to be kept.
+  std::shared_ptr<const KeptAnswer> answer;
 };
 /// The agent asked its backend server how it is.
 struct BackendObserved {
@@ -214,11 +255,39 @@
   std::uint32_t running = 0;
 };
 
-using Event = std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
-                           RequestArrived, CallerLeft, AnswerBegan, AttemptQueued, AttemptStarted,
-                           AttemptEnded, GrantReceived, AgentReported, OfferReceived,
-                           CancelReceived, GrantDeclined, DemandReported, ServiceAccrued,
-                           AnswerStarted, AttemptFinished, BackendObserved>;
+/// A claim record was appended.
+struct ClaimAppended {
+  std::uint32_t stream = 0;
+  ClaimNonce nonce;
+  ClaimKind kind = ClaimKind::kClaim;
+  std::int64_t offset = 0;
+};
+struct ClaimAppendFailed {
+  std::uint32_t stream = 0;
+  ClaimNonce nonce;
+  ClaimKind kind = ClaimKind::kClaim;
+  /// True if nothing was appended; otherwise the record may be in the log now or later.
+  bool certain = false;
+};
+/// Answer of the log to ReadClaims.
+struct ClaimsRead {
+  std::uint32_t stream = 0;
+  /// Offset of the oldest record that the log still keeps.
+  std::int64_t first_offset = 0;
+  /// Offset that the next append gets.
+  std::int64_t next_offset = 0;
+  std::vector<StoredClaim> records;
+};
+struct ClaimsReadFailed {
+  std::uint32_t stream = 0;
+};
+
+using Event =
+    std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
+                 RequestArrived, CallerLeft, AnswerBegan, AttemptQueued, AttemptStarted,
+                 AttemptEnded, GrantReceived, AgentReported, OfferReceived, CancelReceived,
+                 GrantDeclined, DemandReported, ServiceAccrued, AnswerStarted, AttemptFinished,
+                 BackendObserved, ClaimAppended, ClaimAppendFailed, ClaimsRead, ClaimsReadFailed>;
 
 // Actions of both roles.
 
@@ -269,11 +338,13 @@
   MemberId entry;
   AttemptId attempt;
 };
-/// Tell the entry that the attempt never ran.
+/// Tell the entry that the attempt isn't run.
 struct RefuseAttempt {
   MemberId entry;
   AttemptId attempt;
   Reason reason = Reason::kNone;
+  /// kUnknown if an earlier call with the same key may have run.
+  AttemptResult result = AttemptResult::kNotRun;
 };
 struct CancelAttempt {
   AttemptId attempt;
@@ -289,9 +360,26 @@
   AgentReport report;
 };
 
+/// Append a record to a claim stream; ClaimAppended or ClaimAppendFailed answers.
+struct AppendClaim {
+  std::uint32_t stream = 0;
+  ClaimRecord record;
+};
+/// Read a claim stream from an offset on; ClaimsRead or ClaimsReadFailed answers.
+struct ReadClaims {
+  std::uint32_t stream = 0;
+  std::int64_t from = 0;
+};
+/// Answer an attempt with an answer that was kept; nothing runs.
+struct RepeatAnswer {
+  MemberId entry;
+  AttemptId attempt;
+  std::shared_ptr<const KeptAnswer> answer;
+};
+
 using Action = std::variant<OpenLink, CloseLink, SendOffer, SendCancel, SendDecline, SendDemand,
                             FinishRequest, StartAttempt, QueueAttempt, RefuseAttempt, CancelAttempt,
-                            SendGrant, SendAgentReport>;
+                            SendGrant, SendAgentReport, AppendClaim, ReadClaims, RepeatAnswer>;
 
 /// What was decided; `Describe` gives it in words.
 enum class DecisionKind {
@@ -313,6 +401,10 @@
   kLinkUp,
   kLinkDown,
   kConfigurationAccepted,
+  kClaimHeld,
+  kClaimLost,
+  kClaimReleased,
+  kAnswerRepeated,
 };
 
 /// One entry of the decision ring.
--- a/packages/policy/src/admission_controller.cc
+++ b/packages/policy/src/admission_controller.cc
@@ -28,10 +28,13 @@
 
  private:
   static void OnOffer(const OfferReceived& offer, Blackboard& board, ActionList& actions) {
-    if (board.running.contains(offer.attempt)) {
+    if (!board.seen_offers.Add(offer.attempt)) {
       return;
     }
     const bool granted = TakeGrant(offer, board);
+    if (board.settled_offers.contains(offer.attempt)) {
+      return;
+    }
     if (!board.Serves(offer.traits.target)) {
       Refuse(offer, Reason::kNotServed, board, actions);
     } else if (board.Closed()) {
@@ -65,9 +68,14 @@
   }
 
   static void Start(const OfferReceived& offer, Blackboard& board, ActionList& actions) {
-    board.running[offer.attempt] =
-        RunningAttempt{.entry = offer.entry, .traits = offer.traits, .started = board.now};
-    actions.Add(StartAttempt{.entry = offer.entry, .attempt = offer.attempt});
+    const bool needs_claim = NeedsClaim(offer.traits);
+    board.running[offer.attempt] = RunningAttempt{.entry = offer.entry,
+                                                  .traits = offer.traits,
+                                                  .started = board.now,
+                                                  .awaits_claim = needs_claim};
+    if (!needs_claim) {
+      actions.Add(StartAttempt{.entry = offer.entry, .attempt = offer.attempt});
+    }
     Record(DecisionKind::kAttemptAdmitted, offer, Reason::kNone, board);
   }
 
--- a/packages/policy/src/blackboard.cc
+++ b/packages/policy/src/blackboard.cc
@@ -27,6 +27,18 @@
   return found;
 }
 
+bool SeenOffers::Add(AttemptId attempt) {
+  if (!seen_.insert(attempt).second) {
+    return false;
+  }
+  order_.push_back(attempt);
+  if (order_.size() > limits::kMaxSeenOffers) {
+    seen_.erase(order_.front());
+    order_.pop_front();
+  }
+  return true;
+}
+
 bool Blackboard::Linked(MemberId member) const {
   const auto found = members.find(member);
   return found != members.end() && found->second.linked;
--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 
 #include <deque>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "claim_table.h"
 #include "lagoonwind/policy.h"
 
 namespace lagoonwind::policy {
@@ -86,6 +88,20 @@
   /// Service charged so far, in units of service.
   double service = 0;
   bool answer_started = false;
+  /// Waits for its claim; nothing was sent to the backend server yet.
+  bool awaits_claim = false;
+};
+
+/// Bounded memory of attempts whose offers were taken; forgets the oldest. Not thread safe.
+class SeenOffers {
+ public:
+  /// \return False if the attempt was seen before.
+  bool Add(AttemptId attempt);
+  [[nodiscard]] bool Contains(AttemptId attempt) const { return seen_.contains(attempt); }
+
+ private:
+  absl::btree_set<AttemptId> seen_;
+  std::deque<AttemptId> order_;
 };
 
 struct BackendState {
@@ -124,6 +140,11 @@
   absl::btree_map<DemandKey, DemandState> demand;
   absl::btree_map<GrantId, GrantState> grants;
   absl::btree_map<AttemptId, RunningAttempt> running;
+  SeenOffers seen_offers;
+  // Agent: ClaimsController.
+  ClaimTable claims;
+  /// Offers of this step that were answered without a run.
+  absl::btree_set<AttemptId> settled_offers;
   // Agent: WarmUpController.
   BackendState backend;
   // Agent: FairShareController. Service per customer, in units of service.
--- /dev/null
+++ b/packages/policy/src/claims_controller.cc
@@ -0,0 +1,476 @@
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "controller.h"
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+/// Interval between sweeps of claims that are older than every window.
+constexpr std::chrono::seconds kSweepInterval{10};
+
+enum class ClaimPhase {
+  /// Not sent to the log yet.
+  kPreparing,
+  kAppending,
+  /// In the log; read back up to its record.
+  kReading,
+  /// The append's answer was lost; read for the claim's own nonce.
+  kSettling,
+};
+
+/// A claim whose fate isn't known yet. Its call hasn't started.
+struct PendingClaim {
+  AttemptId attempt;
+  MemberId entry;
+  RequestTraits traits;
+  ClaimRecord record;
+  ClaimPhase phase = ClaimPhase::kPreparing;
+  Time deadline;
+  std::int64_t offset = 0;
+  std::uint32_t appends = 0;
+  /// True if the log may hold the claim, now or later.
+  bool may_be_logged = false;
+  /// The caller or its entry is gone.
+  bool unwanted = false;
+};
+
+/// A release or a completion on its way to the log.
+struct OutboxRecord {
+  ClaimRecord record;
+  bool in_flight = false;
+  Time next_try;
+};
+
+/// An attempt whose end is told to its entry once its claim's release is in the log.
+struct Releasing {
+  AttemptId attempt;
+  MemberId entry;
+  Reason reason = Reason::kNone;
+};
+
+struct StreamReads {
+  bool in_flight = false;
+  Time next_try;
+};
+
+/// Claims the key of each call that may run once before it starts, by docs/OUTCOMES.md: the first
+/// claim of a key in the log that isn't released is the only one that may run.
+class ClaimsController final : public Controller {
+ public:
+  void OnEvent(const Event& event, Blackboard& board, ActionList& actions) override {
+    if (const auto* offer = std::get_if<OfferReceived>(&event)) {
+      OnOffer(*offer, board, actions);
+    } else if (const auto* cancel = std::get_if<CancelReceived>(&event)) {
+      MarkUnwanted([&](const PendingClaim& claim) { return claim.attempt == cancel->attempt; });
+    } else if (const auto* down = std::get_if<LinkDown>(&event)) {
+      MarkUnwanted([&](const PendingClaim& claim) { return claim.entry == down->member; });
+    } else if (const auto* finished = std::get_if<AttemptFinished>(&event)) {
+      OnFinished(*finished, board);
+    } else if (const auto* appended = std::get_if<ClaimAppended>(&event)) {
+      OnAppended(*appended, board, actions);
+    } else if (const auto* failed = std::get_if<ClaimAppendFailed>(&event)) {
+      OnAppendFailed(*failed, board, actions);
+    } else if (const auto* read = std::get_if<ClaimsRead>(&event)) {
+      OnRead(*read, board, actions);
+    } else if (const auto* unread = std::get_if<ClaimsReadFailed>(&event)) {
+      OnReadFailed(unread->stream, board, actions);
+    }
+  }
+
+  void Update(Blackboard& board, ActionList& actions) override {
+    board.settled_offers.clear();
+    FollowWindows(board);
+    TakeAdmitted(board);
+    AppendPrepared(board, actions);
+    AbandonOverdue(board, actions);
+    SendOutbox(board, actions);
+    ReadStreams(board, actions);
+  }
+
+ private:
+  static std::chrono::seconds WindowOf(const TargetRule& rule) {
+    return rule.window.count() > 0 ? rule.window : limits::kDefaultKeyWindow;
+  }
+
+  static std::chrono::seconds WindowOf(const Blackboard& board, TargetId target) {
+    const TargetRule* rule = board.configuration->Target(target);
+    return rule != nullptr ? WindowOf(*rule) : limits::kDefaultKeyWindow;
+  }
+
+  static bool IsOnce(const TargetRule& rule) { return rule.repeatability == Repeatability::kOnce; }
+
+  /// True if every claim of the key within its window is known up to the stream's position.
+  static bool Covers(const Blackboard& board, const RequestTraits& traits) {
+    const auto& stream = board.claims.stream(ClaimTable::StreamOf(traits.key));
+    return stream.covered_since() <= board.now - WindowOf(board, traits.target);
+  }
+
+  /// Answers calls whose key can't be claimed any more; they need neither a slot nor the log. All
+  /// else must read the log first: a claim that this agent knows of may have been released since.
+  static void OnOffer(const OfferReceived& offer, Blackboard& board, ActionList& actions) {
+    const RequestTraits& traits = offer.traits;
+    if (!NeedsClaim(traits) || board.seen_offers.Contains(offer.attempt)) {
+      return;
+    }
+    const ClaimState* state =
+        board.claims.stream(ClaimTable::StreamOf(traits.key)).Find(traits.key);
+    if (state != nullptr && state->complete) {
+      AnswerUsedKey(*state, offer.entry, offer.attempt, traits, board, actions);
+    } else if (traits.key_age > WindowOf(board, traits.target)) {
+      Refuse(offer.entry, offer.attempt, AttemptResult::kUnknown, Reason::kKeyExpired, actions);
+    } else {
+      return;
+    }
+    board.settled_offers.insert(offer.attempt);
+  }
+
+  static void Refuse(MemberId entry, AttemptId attempt, AttemptResult result, Reason reason,
+                     ActionList& actions) {
+    actions.Add(
+        RefuseAttempt{.entry = entry, .attempt = attempt, .reason = reason, .result = result});
+  }
+
+  static void AnswerUsedKey(const ClaimState& state, MemberId entry, AttemptId attempt,
+                            const RequestTraits& traits, Blackboard& board, ActionList& actions) {
+    const bool expired = state.claimed + WindowOf(board, traits.target) < board.now;
+    Reason reason = Reason::kKeyRunning;
+    if (expired) {
+      reason = Reason::kKeyExpired;
+    } else if (state.content != traits.digest) {
+      reason = Reason::kKeyConflict;
+    } else if (state.answer != nullptr) {
+      actions.Add(RepeatAnswer{.entry = entry, .attempt = attempt, .answer = state.answer});
+      Record(DecisionKind::kAnswerRepeated, entry, attempt, traits, Reason::kNone, board);
+      return;
+    }
+    // Only the holder's request ever runs, so one with other content has not.
+    const bool proved = reason == Reason::kKeyConflict && Covers(board, traits);
+    Refuse(entry, attempt, proved ? AttemptResult::kNotRun : AttemptResult::kUnknown, reason,
+           actions);
+    Record(DecisionKind::kClaimLost, entry, attempt, traits, reason, board);
+  }
+
+  static void Record(DecisionKind kind, MemberId entry, AttemptId attempt,
+                     const RequestTraits& traits, Reason reason, Blackboard& board) {
+    board.Record({.kind = kind,
+                  .request = attempt.request,
+                  .customer = traits.customer,
+                  .member = entry,
+                  .reason = reason});
+  }
+
+  template <class Predicate>
+  void MarkUnwanted(Predicate predicate) {
+    for (auto& [nonce, claim] : pending_) {
+      claim.unwanted = claim.unwanted || predicate(claim);
+    }
+  }
+
+  /// Begins to claim the keys of attempts that were just admitted.
+  void TakeAdmitted(Blackboard& board) {
+    for (const auto& [id, attempt] : board.running) {
+      if (!attempt.awaits_claim || claiming_.contains(id)) {
+        continue;
+      }
+      const ClaimNonce nonce{MixHash(board.init.incarnation.value, ++last_nonce_)};
+      claiming_.insert(id);
+      pending_[nonce] = PendingClaim{.attempt = id,
+                                     .entry = attempt.entry,
+                                     .traits = attempt.traits,
+                                     .record = {.key = attempt.traits.key,
+                                                .content = attempt.traits.digest,
+                                                .customer = attempt.traits.customer,
+                                                .nonce = nonce,
+                                                .agent = board.init.incarnation},
+                                     .deadline = board.now + limits::kClaimTimeout};
+    }
+  }
+
+  void AppendPrepared(Blackboard& board, ActionList& actions) {
+    for (auto& [nonce, claim] : pending_) {
+      const std::uint32_t number = ClaimTable::StreamOf(claim.record.key);
+      if (claim.phase == ClaimPhase::kPreparing && !claim.unwanted &&
+          board.claims.stream(number).caught_up() && Covers(board, claim.traits)) {
+        Append(claim, actions);
+      }
+    }
+  }
+
+  static void Append(PendingClaim& claim, ActionList& actions) {
+    claim.phase = ClaimPhase::kAppending;
+    ++claim.appends;
+    actions.Add(
+        AppendClaim{.stream = ClaimTable::StreamOf(claim.record.key), .record = claim.record});
+  }
+
+  void OnAppended(const ClaimAppended& appended, Blackboard& board, ActionList& actions) {
+    if (appended.kind != ClaimKind::kClaim) {
+      outbox_.erase(appended.nonce);
+      FinishRelease(appended.nonce, std::nullopt, board, actions);
+      return;
+    }
+    const auto found = pending_.find(appended.nonce);
+    if (found != pending_.end() && found->second.phase != ClaimPhase::kReading) {
+      found->second.phase = ClaimPhase::kReading;
+      found->second.offset = appended.offset;
+      found->second.may_be_logged = true;
+    }
+  }
+
+  void OnAppendFailed(const ClaimAppendFailed& failed, Blackboard& board, ActionList& actions) {
+    if (failed.kind != ClaimKind::kClaim) {
+      if (const auto found = outbox_.find(failed.nonce); found != outbox_.end()) {
+        found->second.in_flight = false;
+        found->second.next_try = board.now + limits::kClaimRetryInterval;
+      }
+      FinishRelease(failed.nonce, Reason::kLogUnavailable, board, actions);
+      return;
+    }
+    const auto found = pending_.find(failed.nonce);
+    if (found == pending_.end() || found->second.phase != ClaimPhase::kAppending) {
+      return;
+    }
+    if (failed.certain) {
+      Abandon(found->first, Reason::kLogUnavailable, board, actions);
+    } else {
+      found->second.may_be_logged = true;
+      found->second.phase = ClaimPhase::kSettling;
+    }
+  }
+
+  void OnRead(const ClaimsRead& read, Blackboard& board, ActionList& actions) {
+    ClaimStream& stream = board.claims.stream(read.stream);
+    const std::int64_t before = stream.position();
+    stream.Apply(read, board.now);
+    StreamReads& reads = reads_.at(read.stream);
+    reads.in_flight = false;
+    reads.next_try =
+        stream.position() > before ? board.now : board.now + limits::kClaimRetryInterval;
+    for (const ClaimNonce nonce : PendingOn(read.stream)) {
+      Advance(nonce, stream, read, board, actions);
+    }
+  }
+
+  std::vector<ClaimNonce> PendingOn(std::uint32_t stream) const {
+    std::vector<ClaimNonce> nonces;
+    for (const auto& [nonce, claim] : pending_) {
+      if (ClaimTable::StreamOf(claim.record.key) == stream) {
+        nonces.push_back(nonce);
+      }
+    }
+    return nonces;
+  }
+
+  void Advance(ClaimNonce nonce, const ClaimStream& stream, const ClaimsRead& read,
+               Blackboard& board, ActionList& actions) {
+    PendingClaim& claim = pending_.at(nonce);
+    const bool read_back = claim.phase == ClaimPhase::kReading && stream.position() > claim.offset;
+    if (read_back || (claim.phase == ClaimPhase::kSettling && stream.Seen(nonce))) {
+      Decide(nonce, stream, board, actions);
+    } else if (claim.phase == ClaimPhase::kSettling && stream.position() >= read.next_offset) {
+      // The first append may still arrive. Appending the same nonce again is harmless: only its
+      // first record counts.
+      if (claim.appends == 1) {
+        Append(claim, actions);
+      } else {
+        Abandon(nonce, Reason::kLogUnavailable, board, actions);
+      }
+    }
+  }
+
+  /// The claim was read back: it is the first of its key, or another one is.
+  void Decide(ClaimNonce nonce, const ClaimStream& stream, Blackboard& board, ActionList& actions) {
+    const PendingClaim claim = pending_.at(nonce);
+    const ClaimState* state = stream.Find(claim.record.key);
+    const bool first = state != nullptr && state->holder == nonce && !state->complete;
+    if (first && (claim.unwanted || !Covers(board, claim.traits) || board.now >= claim.deadline)) {
+      Abandon(nonce, claim.unwanted ? Reason::kCallerLeft : Reason::kLogUnavailable, board,
+              actions);
+      return;
+    }
+    Forget(nonce);
+    if (first) {
+      held_[claim.attempt] = claim;
+      board.running.at(claim.attempt).awaits_claim = false;
+      actions.Add(StartAttempt{.entry = claim.entry, .attempt = claim.attempt});
+      Record(DecisionKind::kClaimHeld, claim.entry, claim.attempt, claim.traits, Reason::kNone,
+             board);
+      return;
+    }
+    board.running.erase(claim.attempt);
+    if (state == nullptr) {
+      // It lost to a claim that has been released since; the entry may try again.
+      Refuse(claim.entry, claim.attempt, AttemptResult::kNotRun, Reason::kNoRoom, actions);
+      return;
+    }
+    AnswerUsedKey(*state, claim.entry, claim.attempt, claim.traits, board, actions);
+  }
+
+  void OnReadFailed(std::uint32_t stream, Blackboard& board, ActionList& actions) {
+    StreamReads& reads = reads_.at(stream);
+    reads.in_flight = false;
+    reads.next_try = board.now + limits::kClaimRetryInterval;
+    for (const ClaimNonce nonce : PendingOn(stream)) {
+      if (pending_.at(nonce).phase != ClaimPhase::kAppending) {
+        Abandon(nonce, Reason::kLogUnavailable, board, actions);
+      }
+    }
+  }
+
+  void AbandonOverdue(Blackboard& board, ActionList& actions) {
+    std::vector<ClaimNonce> overdue;
+    for (const auto& [nonce, claim] : pending_) {
+      const bool idle = claim.phase == ClaimPhase::kPreparing && claim.unwanted;
+      if (idle || board.now >= claim.deadline) {
+        overdue.push_back(nonce);
+      }
+    }
+    for (const ClaimNonce nonce : overdue) {
+      Abandon(nonce, Reason::kLogUnavailable, board, actions);
+    }
+  }
+
+  /// Gives a claim up. Its call never starts, so its nonce is released if the log may hold it.
+  void Abandon(ClaimNonce nonce, Reason reason, Blackboard& board, ActionList& actions) {
+    const PendingClaim claim = pending_.at(nonce);
+    Forget(nonce);
+    board.running.erase(claim.attempt);
+    if (claim.may_be_logged || claim.phase == ClaimPhase::kAppending) {
+      Release(claim.record, board);
+    }
+    Refuse(claim.entry, claim.attempt, AttemptResult::kNotRun, reason, actions);
+    Record(DecisionKind::kClaimReleased, claim.entry, claim.attempt, claim.traits, reason, board);
+  }
+
+  void Forget(ClaimNonce nonce) {
+    claiming_.erase(pending_.at(nonce).attempt);
+    pending_.erase(nonce);
+  }
+
+  void OnFinished(const AttemptFinished& finished, Blackboard& board) {
+    const auto found = held_.find(finished.attempt);
+    if (found == held_.end()) {
+      return;
+    }
+    const PendingClaim claim = found->second;
+    held_.erase(found);
+    if (finished.result == AttemptResult::kComplete) {
+      ClaimRecord record = claim.record;
+      record.kind = ClaimKind::kCompletion;
+      record.answer = finished.answer;
+      Post(std::move(record), board);
+    } else if (finished.result == AttemptResult::kNotRun) {
+      releasing_[claim.record.nonce] =
+          Releasing{.attempt = claim.attempt, .entry = claim.entry, .reason = finished.reason};
+      Release(claim.record, board);
+    }
+  }
+
+  void Release(ClaimRecord record, Blackboard& board) {
+    record.kind = ClaimKind::kRelease;
+    Post(std::move(record), board);
+  }
+
+  void Post(ClaimRecord record, Blackboard& board) {
+    if (outbox_.size() >= limits::kMaxClaimOutbox) {
+      outbox_.erase(outbox_.begin());
+    }
+    const ClaimNonce nonce = record.nonce;
+    outbox_[nonce] = OutboxRecord{.record = std::move(record), .next_try = board.now};
+  }
+
+  /// Tells the entry that the attempt never ran. With the release in the log another agent may
+  /// claim the key; without it a further try would only meet this claim.
+  void FinishRelease(ClaimNonce nonce, std::optional<Reason> fault, Blackboard& board,
+                     ActionList& actions) {
+    const auto found = releasing_.find(nonce);
+    if (found == releasing_.end()) {
+      return;
+    }
+    const Releasing ended = found->second;
+    releasing_.erase(found);
+    Refuse(ended.entry, ended.attempt, AttemptResult::kNotRun, fault.value_or(ended.reason),
+           actions);
+    board.Record({.kind = DecisionKind::kClaimReleased,
+                  .request = ended.attempt.request,
+                  .member = ended.entry,
+                  .reason = ended.reason});
+  }
+
+  void SendOutbox(Blackboard& board, ActionList& actions) {
+    for (auto& [nonce, item] : outbox_) {
+      if (!item.in_flight && item.next_try <= board.now) {
+        item.in_flight = true;
+        actions.Add(
+            AppendClaim{.stream = ClaimTable::StreamOf(item.record.key), .record = item.record});
+      }
+    }
+  }
+
+  void ReadStreams(Blackboard& board, ActionList& actions) {
+    for (std::uint32_t number = 0; number < limits::kClaimStreams; ++number) {
+      StreamReads& reads = reads_.at(number);
+      if (!reads.in_flight && reads.next_try <= board.now && NeedsRead(number, board)) {
+        reads.in_flight = true;
+        actions.Add(ReadClaims{.stream = number, .from = board.claims.stream(number).position()});
+      }
+    }
+  }
+
+  bool NeedsRead(std::uint32_t number, const Blackboard& board) const {
+    if (!board.claims.stream(number).caught_up()) {
+      return ServesOnce(board);
+    }
+    return std::ranges::any_of(pending_, [number](const auto& item) {
+      const PendingClaim& claim = item.second;
+      return ClaimTable::StreamOf(claim.record.key) == number &&
+             (claim.phase == ClaimPhase::kReading || claim.phase == ClaimPhase::kSettling);
+    });
+  }
+
+  static bool ServesOnce(const Blackboard& board) {
+    return std::ranges::any_of(board.configuration->targets, [&](const auto& item) {
+      return IsOnce(item.second) && board.Serves(item.first);
+    });
+  }
+
+  /// Forgets claims that are older than every window; reads all anew when a window has grown.
+  void FollowWindows(Blackboard& board) {
+    std::chrono::seconds longest{0};
+    for (const auto& [id, rule] : board.configuration->targets) {
+      longest = std::max(longest, IsOnce(rule) ? WindowOf(rule) : longest);
+    }
+    if (longest > longest_window_) {
+      board.claims = ClaimTable{};
+    }
+    longest_window_ = longest;
+    if (longest.count() == 0 || board.now < next_sweep_) {
+      return;
+    }
+    next_sweep_ = board.now + kSweepInterval;
+    for (std::uint32_t number = 0; number < limits::kClaimStreams; ++number) {
+      board.claims.stream(number).Expire(board.now - longest - limits::kClaimGrace, board.now);
+    }
+  }
+
+  std::uint64_t last_nonce_ = 0;
+  absl::btree_map<ClaimNonce, PendingClaim> pending_;
+  /// Attempts with a pending claim.
+  absl::btree_set<AttemptId> claiming_;
+  /// Claims that are the first of their key and whose call was started.
+  absl::btree_map<AttemptId, PendingClaim> held_;
+  absl::btree_map<ClaimNonce, OutboxRecord> outbox_;
+  absl::btree_map<ClaimNonce, Releasing> releasing_;
+  std::array<StreamReads, limits::kClaimStreams> reads_{};
+  std::chrono::seconds longest_window_{0};
+  Time next_sweep_;
+};
+
+}  // namespace
+
+std::unique_ptr<Controller> MakeClaimsController() { return std::make_unique<ClaimsController>(); }
+
+}  // namespace lagoonwind::policy
--- a/packages/policy/src/controller.h
+++ b/packages/policy/src/controller.h
@@ -42,6 +42,7 @@
 // Agent.
 std::unique_ptr<Controller> MakeWarmUpController();
 std::unique_ptr<Controller> MakeFairShareController();
+std::unique_ptr<Controller> MakeClaimsController();
 std::unique_ptr<Controller> MakeAdmissionController();
 std::unique_ptr<Controller> MakeReportController();
 
--- a/packages/policy/src/names.cc
+++ b/packages/policy/src/names.cc
@@ -104,6 +104,14 @@
       return "link lost";
     case DecisionKind::kConfigurationAccepted:
       return "configuration in force";
+    case DecisionKind::kClaimHeld:
+      return "claim is the first for its key";
+    case DecisionKind::kClaimLost:
+      return "key was claimed before";
+    case DecisionKind::kClaimReleased:
+      return "claim released, the call never ran";
+    case DecisionKind::kAnswerRepeated:
+      return "kept answer given again";
   }
   return "decision";
 }
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -28,6 +28,7 @@
   list.push_back(MakeMembershipController());
   list.push_back(MakeWarmUpController());
   list.push_back(MakeFairShareController());
+  list.push_back(MakeClaimsController());
   list.push_back(MakeAdmissionController());
   list.push_back(MakeReportController());
   return list;
--- a/packages/policy/src/retry_controller.cc
+++ b/packages/policy/src/retry_controller.cc
@@ -76,7 +76,7 @@
     if (result == AttemptResult::kUnknown) {
       ++request.started_attempts;
     }
-    if (MayRetry(request, result)) {
+    if (MayRetry(request, result, reason)) {
       request.phase = RequestPhase::kWaiting;
       request.agent = MemberId{};
       board.Record({.kind = DecisionKind::kRequestRetried,
@@ -91,13 +91,19 @@
 
   /// An attempt that provably never ran may always be tried again; one that may have run only if
   /// the call is repeatable and the caller has seen nothing of an answer.
-  static bool MayRetry(const OwnedRequest& request, AttemptResult result) {
-    if (request.attempt >= limits::kMaxAttempts || request.answer_began) {
+  static bool MayRetry(const OwnedRequest& request, AttemptResult result, Reason reason) {
+    if (IsFinal(reason) || request.attempt >= limits::kMaxAttempts || request.answer_began) {
       return false;
     }
     return result == AttemptResult::kNotRun || request.traits.repeatable;
   }
 
+  /// True if no other agent can say anything else.
+  static bool IsFinal(Reason reason) {
+    return reason == Reason::kLogUnavailable || reason == Reason::kKeyConflict ||
+           reason == Reason::kKeyRunning || reason == Reason::kKeyExpired;
+  }
+
   static void Finish(RequestId id, Outcome outcome, Reason reason, Blackboard& board,
                      ActionList& actions) {
     board.Record({.kind = DecisionKind::kRequestFinished,
--- a/packages/runtime/src/agent_daemon.cc
+++ b/packages/runtime/src/agent_daemon.cc
@@ -9,6 +9,7 @@
 #include <mutex>
 
 #include "attempt_run.h"
+#include "claim_log.h"
 #include "daemon.h"
 #include "lagoonwind/backend.h"
 #include "lagoonwind/limits.h"
@@ -30,7 +31,8 @@
                                .cost_hint = offer.cost_hint,
                                .digest = {static_cast<std::uint64_t>(offer.digest)},
                                .repeatable = offer.repeatable,
-                               .key = {static_cast<std::uint64_t>(offer.key)}};
+                               .key = {static_cast<std::uint64_t>(offer.key)},
+                               .key_age = Duration(offer.key_age_us)};
 }
 
 /// Owns one backend server; talks to entries. Its mutex is a leaf of the lock order.
@@ -38,6 +40,7 @@
  public:
   explicit AgentDaemon(const DaemonContext& context)
       : context_(context),
+        claims_(context.io, context.log, context.policy),
         backend_(
             backend::MakeHttpBackend(KindOf(context.settings), context.settings.backend_address)) {}
 
@@ -61,6 +64,12 @@
       if (const auto run = Find(cancel->attempt)) {
         run->Cancel();
       }
+    } else if (const auto* append = std::get_if<policy::AppendClaim>(&action)) {
+      claims_.Append(*append);
+    } else if (const auto* read = std::get_if<policy::ReadClaims>(&action)) {
+      claims_.Read(*read);
+    } else if (const auto* repeat = std::get_if<policy::RepeatAnswer>(&action)) {
+      Repeat(*repeat);
     } else if (const auto* grant = std::get_if<policy::SendGrant>(&action)) {
       Send(*grant);
     } else if (const auto* report = std::get_if<policy::SendAgentReport>(&action)) {
@@ -87,7 +96,7 @@
 
   [[nodiscard]] bool Idle() const override {
     const std::scoped_lock lock(mutex_);
-    return runs_.empty();
+    return runs_.empty() && claims_.idle();
   }
 
   [[nodiscard]] std::string caller_address() const override { return {}; }
@@ -127,11 +136,34 @@
     wire::Message message;
     message.__set_ended({});
     message.ended.attempt = wire::ToWire(refuse.attempt);
-    message.ended.result = static_cast<std::int32_t>(policy::AttemptResult::kNotRun);
+    message.ended.result = static_cast<std::int32_t>(refuse.result);
     message.ended.reason = static_cast<std::int32_t>(refuse.reason);
     context_.links.Send(refuse.entry, message);
   }
 
+  /// Sends a kept answer as if the attempt had run.
+  void Repeat(const policy::RepeatAnswer& repeat) {
+    Forget(repeat.attempt);
+    const wire::gen::Attempt attempt = wire::ToWire(repeat.attempt);
+    wire::Message head;
+    head.__set_head({});
+    head.head.attempt = attempt;
+    head.head.status = static_cast<std::int32_t>(repeat.answer->status);
+    head.head.content_type = repeat.answer->content_type;
+    context_.links.Send(repeat.entry, head);
+    wire::Message chunk;
+    chunk.__set_chunk({});
+    chunk.chunk.attempt = attempt;
+    chunk.chunk.data = repeat.answer->body;
+    context_.links.Send(repeat.entry, chunk);
+    wire::Message ended;
+    ended.__set_ended({});
+    ended.ended.attempt = attempt;
+    ended.ended.result = static_cast<std::int32_t>(policy::AttemptResult::kComplete);
+    ended.ended.length = static_cast<std::int64_t>(repeat.answer->body.size());
+    context_.links.Send(repeat.entry, ended);
+  }
+
   void Send(const policy::SendGrant& grant) {
     wire::Message message;
     message.__set_grant({});
@@ -170,6 +202,7 @@
   }
 
   DaemonContext context_;
+  ClaimLog claims_;
   std::unique_ptr<backend::Backend> backend_;
 
   mutable std::mutex mutex_;
--- a/packages/runtime/src/attempt_run.cc
+++ b/packages/runtime/src/attempt_run.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "lagoonwind/limits.h"
+
 namespace lagoonwind::runtime {
 namespace {
 
@@ -82,6 +84,8 @@
   message.head.status = static_cast<std::int32_t>(head.status);
   message.head.content_type = head.content_type;
   context_.links.Send(entry_, message);
+  kept_.status = head.status;
+  kept_.content_type = head.content_type;
   context_.policy.Post(policy::AnswerStarted{.attempt = id_});
 }
 
@@ -92,6 +96,9 @@
   message.chunk.offset = static_cast<std::int64_t>(sent_);
   message.chunk.data = std::string(data);
   sent_ += data.size();
+  if (claimed() && sent_ <= limits::kMaxKeptAnswerBytes) {
+    kept_.body += data;
+  }
   context_.links.Send(entry_, message);
   if (tokens > 0) {
     Charge(tokens);
@@ -103,7 +110,27 @@
   context_.metrics.ServiceCharged(offer_.customer_name, service);
 }
 
+std::shared_ptr<const policy::KeptAnswer> AttemptRun::TakeKept() {
+  if (!claimed() || sent_ > limits::kMaxKeptAnswerBytes) {
+    return nullptr;
+  }
+  return std::make_shared<const policy::KeptAnswer>(std::move(kept_));
+}
+
 void AttemptRun::End(CallResult result) {
+  policy::AttemptFinished finished{
+      .attempt = id_, .result = ResultOf(result), .reason = ReasonOf(result)};
+  finished.answer = result == CallResult::kComplete ? TakeKept() : nullptr;
+  LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
+            << " customer=" << offer_.customer_name << " reason=" << policy::Name(finished.reason);
+  // The decisions tell the entry of a claimed call that never ran, once its claim is released.
+  if (!claimed() || result != CallResult::kNotRun) {
+    SendEnd(result);
+  }
+  context_.policy.Post(std::move(finished));
+}
+
+void AttemptRun::SendEnd(CallResult result) {
   wire::Message message;
   message.__set_ended({});
   message.ended.attempt = offer_.attempt;
@@ -111,10 +138,6 @@
   message.ended.reason = static_cast<std::int32_t>(ReasonOf(result));
   message.ended.length = static_cast<std::int64_t>(sent_);
   context_.links.Send(entry_, message);
-  context_.policy.Post(policy::AttemptFinished{
-      .attempt = id_, .result = ResultOf(result), .reason = ReasonOf(result)});
-  LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
-            << " customer=" << offer_.customer_name << " reason=" << policy::Name(ReasonOf(result));
 }
 
 }  // namespace lagoonwind::runtime
--- a/packages/runtime/src/attempt_run.h
+++ b/packages/runtime/src/attempt_run.h
@@ -31,7 +31,12 @@
 
  private:
   void Charge(double service);
+  /// True for a call that was claimed; its answer is kept and its refusal released first.
+  [[nodiscard]] bool claimed() const { return !offer_.repeatable && offer_.key != 0; }
+  /// The whole answer, or null if it isn't kept.
+  [[nodiscard]] std::shared_ptr<const policy::KeptAnswer> TakeKept();
   void End(backend::CallResult result);
+  void SendEnd(backend::CallResult result);
 
   DaemonContext context_;
   MemberId entry_;
@@ -39,6 +44,8 @@
   AttemptId id_;
   std::atomic<bool> cancelled_{false};
   std::uint64_t sent_ = 0;
+  /// Answer of a claimed call so far, as long as it is small enough to be kept.
+  policy::KeptAnswer kept_;
   std::chrono::steady_clock::time_point started_;
 };
 
--- a/packages/runtime/src/entry_daemon.cc
+++ b/packages/runtime/src/entry_daemon.cc
@@ -108,6 +108,7 @@
     out.digest = static_cast<std::int64_t>(content.traits.digest.value);
     out.repeatable = content.traits.repeatable;
     out.key = static_cast<std::int64_t>(content.traits.key.value);
+    out.key_age_us = content.traits.key_age.count();
     out.grant = static_cast<std::int64_t>(offer.grant.value);
     out.method = content.method;
     out.path = content.path;
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -750,6 +750,10 @@
 void Offer::__set_idempotency_key(const std::string& val) {
   this->idempotency_key = val;
 }
+
+void Offer::__set_key_age_us(const int64_t val) {
+  this->key_age_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const Offer& obj)
 {
   obj.printTo(out);
@@ -890,6 +894,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->key_age_us);
+          this->__isset.key_age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -963,6 +975,10 @@
   xfer += oprot->writeString(this->idempotency_key);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("key_age_us", ::apache::thrift::protocol::T_I64, 40);
+  xfer += oprot->writeI64(this->key_age_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -984,6 +1000,7 @@
   swap(a.body, b.body);
   swap(a.customer_name, b.customer_name);
   swap(a.idempotency_key, b.idempotency_key);
+  swap(a.key_age_us, b.key_age_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -1002,6 +1019,7 @@
   body = other20.body;
   customer_name = other20.customer_name;
   idempotency_key = other20.idempotency_key;
+  key_age_us = other20.key_age_us;
   __isset = other20.__isset;
 }
 Offer::Offer(Offer&& other21) noexcept {
@@ -1019,6 +1037,7 @@
   body = std::move(other21.body);
   customer_name = std::move(other21.customer_name);
   idempotency_key = std::move(other21.idempotency_key);
+  key_age_us = other21.key_age_us;
   __isset = other21.__isset;
 }
 Offer& Offer::operator=(const Offer& other22) {
@@ -1036,6 +1055,7 @@
   body = other22.body;
   customer_name = other22.customer_name;
   idempotency_key = other22.idempotency_key;
+  key_age_us = other22.key_age_us;
   __isset = other22.__isset;
   return *this;
 }
@@ -1054,6 +1074,7 @@
   body = std::move(other23.body);
   customer_name = std::move(other23.customer_name);
   idempotency_key = std::move(other23.idempotency_key);
+  key_age_us = other23.key_age_us;
   __isset = other23.__isset;
   return *this;
 }
@@ -1074,6 +1095,7 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "customer_name=" << to_string(customer_name);
   out << ", " << "idempotency_key=" << to_string(idempotency_key);
+  out << ", " << "key_age_us=" << to_string(key_age_us);
   out << ")";
 }
 
@@ -2603,6 +2625,531 @@
 }
 
 
+KeptAnswer::~KeptAnswer() noexcept {
+}
+
+
+void KeptAnswer::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void KeptAnswer::__set_content_type(const std::string& val) {
+  this->content_type = val;
+}
+
+void KeptAnswer::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeptAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeptAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->content_type);
+          this->__isset.content_type = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeptAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeptAnswer");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->content_type);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeptAnswer &a, KeptAnswer &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.content_type, b.content_type);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+KeptAnswer::KeptAnswer(const KeptAnswer& other80) {
+  status = other80.status;
+  content_type = other80.content_type;
+  body = other80.body;
+  __isset = other80.__isset;
+}
+KeptAnswer::KeptAnswer(KeptAnswer&& other81) noexcept {
+  status = other81.status;
+  content_type = std::move(other81.content_type);
+  body = std::move(other81.body);
+  __isset = other81.__isset;
+}
+KeptAnswer& KeptAnswer::operator=(const KeptAnswer& other82) {
+  status = other82.status;
+  content_type = other82.content_type;
+  body = other82.body;
+  __isset = other82.__isset;
+  return *this;
+}
+KeptAnswer& KeptAnswer::operator=(KeptAnswer&& other83) noexcept {
+  status = other83.status;
+  content_type = std::move(other83.content_type);
+  body = std::move(other83.body);
+  __isset = other83.__isset;
+  return *this;
+}
+void KeptAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeptAnswer(";
+  out << "status=" << to_string(status);
+  out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+Claim::~Claim() noexcept {
+}
+
+
+void Claim::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void Claim::__set_key(const int64_t val) {
+  this->key = val;
+}
+
+void Claim::__set_content(const int64_t val) {
+  this->content = val;
+}
+
+void Claim::__set_customer(const int64_t val) {
+  this->customer = val;
+}
+
+void Claim::__set_nonce(const int64_t val) {
+  this->nonce = val;
+}
+
+void Claim::__set_agent(const int64_t val) {
+  this->agent = val;
+}
+
+void Claim::__set_written_us(const int64_t val) {
+  this->written_us = val;
+}
+
+void Claim::__set_answer(const KeptAnswer& val) {
+  this->answer = val;
+__isset.answer = true;
+}
+std::ostream& operator<<(std::ostream& out, const Claim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Claim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agent);
+          this->__isset.agent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->written_us);
+          this->__isset.written_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Claim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Claim");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agent", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->agent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("written_us", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->written_us);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Claim &a, Claim &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.key, b.key);
+  swap(a.content, b.content);
+  swap(a.customer, b.customer);
+  swap(a.nonce, b.nonce);
+  swap(a.agent, b.agent);
+  swap(a.written_us, b.written_us);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+Claim::Claim(const Claim& other84) {
+  kind = other84.kind;
+  key = other84.key;
+  content = other84.content;
+  customer = other84.customer;
+  nonce = other84.nonce;
+  agent = other84.agent;
+  written_us = other84.written_us;
+  answer = other84.answer;
+  __isset = other84.__isset;
+}
+Claim::Claim(Claim&& other85) noexcept {
+  kind = other85.kind;
+  key = other85.key;
+  content = other85.content;
+  customer = other85.customer;
+  nonce = other85.nonce;
+  agent = other85.agent;
+  written_us = other85.written_us;
+  answer = std::move(other85.answer);
+  __isset = other85.__isset;
+}
+Claim& Claim::operator=(const Claim& other86) {
+  kind = other86.kind;
+  key = other86.key;
+  content = other86.content;
+  customer = other86.customer;
+  nonce = other86.nonce;
+  agent = other86.agent;
+  written_us = other86.written_us;
+  answer = other86.answer;
+  __isset = other86.__isset;
+  return *this;
+}
+Claim& Claim::operator=(Claim&& other87) noexcept {
+  kind = other87.kind;
+  key = other87.key;
+  content = other87.content;
+  customer = other87.customer;
+  nonce = other87.nonce;
+  agent = other87.agent;
+  written_us = other87.written_us;
+  answer = std::move(other87.answer);
+  __isset = other87.__isset;
+  return *this;
+}
+void Claim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Claim(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "content=" << to_string(content);
+  out << ", " << "customer=" << to_string(customer);
+  out << ", " << "nonce=" << to_string(nonce);
+  out << ", " << "agent=" << to_string(agent);
+  out << ", " << "written_us=" << to_string(written_us);
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Credit::~Credit() noexcept {
+}
+
+
+void Credit::__set_attempt(const Attempt& val) {
+  this->attempt = val;
+}
+
+void Credit::__set_taken(const int64_t val) {
+  this->taken = val;
+}
+std::ostream& operator<<(std::ostream& out, const Credit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Credit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->attempt.read(iprot);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->taken);
+          this->__isset.taken = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Credit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Credit");
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->attempt.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("taken", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->taken);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Credit &a, Credit &b) {
+  using ::std::swap;
+  swap(a.attempt, b.attempt);
+  swap(a.taken, b.taken);
+  swap(a.__isset, b.__isset);
+}
+
+Credit::Credit(const Credit& other88) noexcept {
+  attempt = other88.attempt;
+  taken = other88.taken;
+  __isset = other88.__isset;
+}
+Credit::Credit(Credit&& other89) noexcept {
+  attempt = std::move(other89.attempt);
+  taken = other89.taken;
+  __isset = other89.__isset;
+}
+Credit& Credit::operator=(const Credit& other90) noexcept {
+  attempt = other90.attempt;
+  taken = other90.taken;
+  __isset = other90.__isset;
+  return *this;
+}
+Credit& Credit::operator=(Credit&& other91) noexcept {
+  attempt = std::move(other91.attempt);
+  taken = other91.taken;
+  __isset = other91.__isset;
+  return *this;
+}
+void Credit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Credit(";
+  out << "attempt=" << to_string(attempt);
+  out << ", " << "taken=" << to_string(taken);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -2681,6 +3228,16 @@
   this->agent_report = val;
 __isset.agent_report = true;
 }
+
+void Message::__set_claim(const Claim& val) {
+  this->claim = val;
+__isset.claim = true;
+}
+
+void Message::__set_credit(const Credit& val) {
+  this->credit = val;
+__isset.credit = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -2829,6 +3386,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claim.read(iprot);
+          this->__isset.claim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 41:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->credit.read(iprot);
+          this->__isset.credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2921,6 +3494,16 @@
     xfer += this->agent_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.claim) {
+    xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 40);
+    xfer += this->claim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.credit) {
+    xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_STRUCT, 41);
+    xfer += this->credit.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2943,81 +3526,91 @@
   swap(a.grant, b.grant);
   swap(a.decline, b.decline);
   swap(a.agent_report, b.agent_report);
+  swap(a.claim, b.claim);
+  swap(a.credit, b.credit);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other80) {
-  hello = other80.hello;
-  proof = other80.proof;
-  ping = other80.ping;
-  leaving = other80.leaving;
-  offer = other80.offer;
-  queued = other80.queued;
-  started = other80.started;
-  head = other80.head;
-  chunk = other80.chunk;
-  ended = other80.ended;
-  cancel = other80.cancel;
-  demand = other80.demand;
-  grant = other80.grant;
-  decline = other80.decline;
-  agent_report = other80.agent_report;
-  __isset = other80.__isset;
-}
-Message::Message(Message&& other81) noexcept {
-  hello = std::move(other81.hello);
-  proof = std::move(other81.proof);
-  ping = std::move(other81.ping);
-  leaving = std::move(other81.leaving);
-  offer = std::move(other81.offer);
-  queued = std::move(other81.queued);
-  started = std::move(other81.started);
-  head = std::move(other81.head);
-  chunk = std::move(other81.chunk);
-  ended = std::move(other81.ended);
-  cancel = std::move(other81.cancel);
-  demand = std::move(other81.demand);
-  grant = std::move(other81.grant);
-  decline = std::move(other81.decline);
-  agent_report = std::move(other81.agent_report);
-  __isset = other81.__isset;
-}
-Message& Message::operator=(const Message& other82) {
-  hello = other82.hello;
-  proof = other82.proof;
-  ping = other82.ping;
-  leaving = other82.leaving;
-  offer = other82.offer;
-  queued = other82.queued;
-  started = other82.started;
-  head = other82.head;
-  chunk = other82.chunk;
-  ended = other82.ended;
-  cancel = other82.cancel;
-  demand = other82.demand;
-  grant = other82.grant;
-  decline = other82.decline;
-  agent_report = other82.agent_report;
-  __isset = other82.__isset;
+Message::Message(const Message& other92) {
+  hello = other92.hello;
+  proof = other92.proof;
+  ping = other92.ping;
+  leaving = other92.leaving;
+  offer = other92.offer;
+  queued = other92.queued;
+  started = other92.started;
+  head = other92.head;
+  chunk = other92.chunk;
+  ended = other92.ended;
+  cancel = other92.cancel;
+  demand = other92.demand;
+  grant = other92.grant;
+  decline = other92.decline;
+  agent_report = other92.agent_report;
+  claim = other92.claim;
+  credit = other92.credit;
+  __isset = other92.__isset;
+}
+Message::Message(Message&& other93) noexcept {
+  hello = std::move(other93.hello);
+  proof = std::move(other93.proof);
+  ping = std::move(other93.ping);
+  leaving = std::move(other93.leaving);
+  offer = std::move(other93.offer);
+  queued = std::move(other93.queued);
+  started = std::move(other93.started);
+  head = std::move(other93.head);
+  chunk = std::move(other93.chunk);
+  ended = std::move(other93.ended);
+  cancel = std::move(other93.cancel);
+  demand = std::move(other93.demand);
+  grant = std::move(other93.grant);
+  decline = std::move(other93.decline);
+  agent_report = std::move(other93.agent_report);
+  claim = std::move(other93.claim);
+  credit = std::move(other93.credit);
+  __isset = other93.__isset;
+}
+Message& Message::operator=(const Message& other94) {
+  hello = other94.hello;
+  proof = other94.proof;
+  ping = other94.ping;
+  leaving = other94.leaving;
+  offer = other94.offer;
+  queued = other94.queued;
+  started = other94.started;
+  head = other94.head;
+  chunk = other94.chunk;
+  ended = other94.ended;
+  cancel = other94.cancel;
+  demand = other94.demand;
+  grant = other94.grant;
+  decline = other94.decline;
+  agent_report = other94.agent_report;
+  claim = other94.claim;
+  credit = other94.credit;
+  __isset = other94.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other83) noexcept {
-  hello = std::move(other83.hello);
-  proof = std::move(other83.proof);
-  ping = std::move(other83.ping);
-  leaving = std::move(other83.leaving);
-  offer = std::move(other83.offer);
-  queued = std::move(other83.queued);
-  started = std::move(other83.started);
-  head = std::move(other83.head);
-  chunk = std::move(other83.chunk);
-  ended = std::move(other83.ended);
-  cancel = std::move(other83.cancel);
-  demand = std::move(other83.demand);
-  grant = std::move(other83.grant);
-  decline = std::move(other83.decline);
-  agent_report = std::move(other83.agent_report);
-  __isset = other83.__isset;
+Message& Message::operator=(Message&& other95) noexcept {
+  hello = std::move(other95.hello);
+  proof = std::move(other95.proof);
+  ping = std::move(other95.ping);
+  leaving = std::move(other95.leaving);
+  offer = std::move(other95.offer);
+  queued = std::move(other95.queued);
+  started = std::move(other95.started);
+  head = std::move(other95.head);
+  chunk = std::move(other95.chunk);
+  ended = std::move(other95.ended);
+  cancel = std::move(other95.cancel);
+  demand = std::move(other95.demand);
+  grant = std::move(other95.grant);
+  decline = std::move(other95.decline);
+  agent_report = std::move(other95.agent_report);
+  claim = std::move(other95.claim);
+  credit = std::move(other95.credit);
+  __isset = other95.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3038,6 +3631,8 @@
   out << ", " << "grant="; (__isset.grant ? (out << to_string(grant)) : (out << "<null>"));
   out << ", " << "decline="; (__isset.decline ? (out << to_string(decline)) : (out << "<null>"));
   out << ", " << "agent_report="; (__isset.agent_report ? (out << to_string(agent_report)) : (out << "<null>"));
+  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
+  out << ", " << "credit="; (__isset.credit ? (out << to_string(credit)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -55,6 +55,12 @@
 
 class AgentReport;
 
+class KeptAnswer;
+
+class Claim;
+
+class Credit;
+
 class Message;
 
 typedef struct _Attempt__isset {
@@ -334,7 +340,7 @@
 std::ostream& operator<<(std::ostream& out, const Leaving& obj);
 
 typedef struct _Offer__isset {
-  _Offer__isset() : attempt(false), customer(false), target(false), cost_hint(false), digest(false), repeatable(false), key(false), grant(false), method(false), path(false), content_type(false), body(false), customer_name(false), idempotency_key(false) {}
+  _Offer__isset() : attempt(false), customer(false), target(false), cost_hint(false), digest(false), repeatable(false), key(false), grant(false), method(false), path(false), content_type(false), body(false), customer_name(false), idempotency_key(false), key_age_us(false) {}
   bool attempt :1;
   bool customer :1;
   bool target :1;
@@ -349,6 +355,7 @@
   bool body :1;
   bool customer_name :1;
   bool idempotency_key :1;
+  bool key_age_us :1;
 } _Offer__isset;
 
 class Offer : public virtual ::apache::thrift::TBase {
@@ -371,7 +378,8 @@
           content_type(),
           body(),
           customer_name(),
-          idempotency_key() {
+          idempotency_key(),
+          key_age_us(0) {
   }
 
   virtual ~Offer() noexcept;
@@ -389,6 +397,7 @@
   std::string body;
   std::string customer_name;
   std::string idempotency_key;
+  int64_t key_age_us;
 
   _Offer__isset __isset;
 
@@ -420,6 +429,8 @@
 
   void __set_idempotency_key(const std::string& val);
 
+  void __set_key_age_us(const int64_t val);
+
   bool operator == (const Offer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -450,6 +461,8 @@
       return false;
     if (!(idempotency_key == rhs.idempotency_key))
       return false;
+    if (!(key_age_us == rhs.key_age_us))
+      return false;
     return true;
   }
   bool operator != (const Offer &rhs) const {
@@ -1074,8 +1087,213 @@
 
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj);
 
+typedef struct _KeptAnswer__isset {
+  _KeptAnswer__isset() : status(false), content_type(false), body(false) {}
+  bool status :1;
+  bool content_type :1;
+  bool body :1;
+} _KeptAnswer__isset;
+
+class KeptAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeptAnswer(const KeptAnswer&);
+  KeptAnswer(KeptAnswer&&) noexcept;
+  KeptAnswer& operator=(const KeptAnswer&);
+  KeptAnswer& operator=(KeptAnswer&&) noexcept;
+  KeptAnswer() noexcept
+             : status(0),
+               content_type(),
+               body() {
+  }
+
+  virtual ~KeptAnswer() noexcept;
+  int32_t status;
+  std::string content_type;
+  std::string body;
+
+  _KeptAnswer__isset __isset;
+
+  void __set_status(const int32_t val);
+
+  void __set_content_type(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const KeptAnswer & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(content_type == rhs.content_type))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const KeptAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeptAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeptAnswer &a, KeptAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const KeptAnswer& obj);
+
+typedef struct _Claim__isset {
+  _Claim__isset() : kind(false), key(false), content(false), customer(false), nonce(false), agent(false), written_us(false), answer(false) {}
+  bool kind :1;
+  bool key :1;
+  bool content :1;
+  bool customer :1;
+  bool nonce :1;
+  bool agent :1;
+  bool written_us :1;
+  bool answer :1;
+} _Claim__isset;
+
+class Claim : public virtual ::apache::thrift::TBase {
+ public:
+
+  Claim(const Claim&);
+  Claim(Claim&&) noexcept;
+  Claim& operator=(const Claim&);
+  Claim& operator=(Claim&&) noexcept;
+  Claim() noexcept
+        : kind(0),
+          key(0),
+          content(0),
+          customer(0),
+          nonce(0),
+          agent(0),
+          written_us(0) {
+  }
+
+  virtual ~Claim() noexcept;
+  int32_t kind;
+  int64_t key;
+  int64_t content;
+  int64_t customer;
+  int64_t nonce;
+  int64_t agent;
+  int64_t written_us;
+  KeptAnswer answer;
+
+  _Claim__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_key(const int64_t val);
+
+  void __set_content(const int64_t val);
+
+  void __set_customer(const int64_t val);
+
+  void __set_nonce(const int64_t val);
+
+  void __set_agent(const int64_t val);
+
+  void __set_written_us(const int64_t val);
+
+  void __set_answer(const KeptAnswer& val);
+
+  bool operator == (const Claim & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(nonce == rhs.nonce))
+      return false;
+    if (!(agent == rhs.agent))
+      return false;
+    if (!(written_us == rhs.written_us))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const Claim &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Claim & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Claim &a, Claim &b);
+
+std::ostream& operator<<(std::ostream& out, const Claim& obj);
+
+typedef struct _Credit__isset {
+  _Credit__isset() : attempt(false), taken(false) {}
+  bool attempt :1;
+  bool taken :1;
+} _Credit__isset;
+
+class Credit : public virtual ::apache::thrift::TBase {
+ public:
+
+  Credit(const Credit&) noexcept;
+  Credit(Credit&&) noexcept;
+  Credit& operator=(const Credit&) noexcept;
+  Credit& operator=(Credit&&) noexcept;
+  Credit() noexcept
+         : taken(0) {
+  }
+
+  virtual ~Credit() noexcept;
+  Attempt attempt;
+  int64_t taken;
+
+  _Credit__isset __isset;
+
+  void __set_attempt(const Attempt& val);
+
+  void __set_taken(const int64_t val);
+
+  bool operator == (const Credit & rhs) const
+  {
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(taken == rhs.taken))
+      return false;
+    return true;
+  }
+  bool operator != (const Credit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Credit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Credit &a, Credit &b);
+
+std::ostream& operator<<(std::ostream& out, const Credit& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false) {}
+  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false), claim(false), credit(false) {}
   bool hello :1;
   bool proof :1;
   bool ping :1;
@@ -1091,6 +1309,8 @@
   bool grant :1;
   bool decline :1;
   bool agent_report :1;
+  bool claim :1;
+  bool credit :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1119,6 +1339,8 @@
   Grant grant;
   Decline decline;
   AgentReport agent_report;
+  Claim claim;
+  Credit credit;
 
   _Message__isset __isset;
 
@@ -1152,6 +1374,10 @@
 
   void __set_agent_report(const AgentReport& val);
 
+  void __set_claim(const Claim& val);
+
+  void __set_credit(const Credit& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1214,6 +1440,14 @@
       return false;
     else if (__isset.agent_report && !(agent_report == rhs.agent_report))
       return false;
+    if (__isset.claim != rhs.__isset.claim)
+      return false;
+    else if (__isset.claim && !(claim == rhs.claim))
+      return false;
+    if (__isset.credit != rhs.__isset.credit)
+      return false;
+    else if (__isset.credit && !(credit == rhs.credit))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -50,6 +50,8 @@
   12: binary body
   13: string customer_name
   14: string idempotency_key
+  // Microseconds since the key was made, 0 if the key doesn't tell.
+  40: i64 key_age_us
 }
 
 // The attempt hasn't started and the agent has forgotten it.
@@ -118,6 +120,32 @@
   5: i64 configuration_offset
 }
 
+// A finished answer, kept for calls with the same key.
+struct KeptAnswer {
+  1: i32 status
+  2: string content_type
+  3: binary body
+}
+
+// A record of a claim stream in the platform's log.
+struct Claim {
+  1: i32 kind
+  2: i64 key
+  3: i64 content
+  4: i64 customer
+  5: i64 nonce
+  6: i64 agent
+  // Unix time in microseconds.
+  7: i64 written_us
+  8: optional KeptAnswer answer
+}
+
+// Bytes of an attempt's answer that the caller has taken, entry to agent.
+struct Credit {
+  1: Attempt attempt
+  2: i64 taken
+}
+
 // One frame on a link. Numbers of fields are never used again.
 union Message {
   1: Hello hello
@@ -135,4 +163,6 @@
   13: Grant grant
   14: Decline decline
   15: AgentReport agent_report
+  40: Claim claim
+  41: Credit credit
 }
--- a/packages/wire/include/lagoonwind/wire.h
+++ b/packages/wire/include/lagoonwind/wire.h
@@ -46,4 +46,14 @@
 policy::AttemptResult ResultFromWire(std::int32_t value);
 policy::Reason ReasonFromWire(std::int32_t value);
 
+/// Encodes a claim record as text for the platform's log. Thread safe.
+/// \param written_us  Unix time in microseconds.
+std::string EncodeClaim(const policy::ClaimRecord& record, std::int64_t written_us);
+
+/// Decodes EncodeClaim's text. Thread safe.
+/// \param now_us  Unix time in microseconds; gives the record its age.
+/// \return A record with an invalid nonce if the text is no claim; it counts as a gap in the
+/// stream.
+policy::StoredClaim DecodeClaim(std::int64_t offset, std::string_view text, std::int64_t now_us);
+
 }  // namespace lagoonwind::wire
--- a/packages/wire/src/wire.cc
+++ b/packages/wire/src/wire.cc
@@ -1,5 +1,6 @@
 #include "lagoonwind/wire.h"
 
+#include <absl/strings/escaping.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -139,4 +140,50 @@
   return known ? static_cast<policy::Reason>(value) : policy::Reason::kNone;
 }
 
+std::string EncodeClaim(const policy::ClaimRecord& record, std::int64_t written_us) {
+  Message message;
+  message.__set_claim({});
+  message.claim.kind = static_cast<std::int32_t>(record.kind);
+  message.claim.key = Signed(record.key.value);
+  message.claim.content = Signed(record.content.value);
+  message.claim.customer = Signed(record.customer.value);
+  message.claim.nonce = Signed(record.nonce.value);
+  message.claim.agent = Signed(record.agent.value);
+  message.claim.written_us = written_us;
+  if (record.answer != nullptr) {
+    message.claim.__set_answer({});
+    message.claim.answer.status = static_cast<std::int32_t>(record.answer->status);
+    message.claim.answer.content_type = record.answer->content_type;
+    message.claim.answer.body = record.answer->body;
+  }
+  return absl::Base64Escape(EncodeFrame(message).substr(kFrameHeaderBytes));
+}
+
+policy::StoredClaim DecodeClaim(std::int64_t offset, std::string_view text, std::int64_t now_us) {
+  policy::StoredClaim stored{.offset = offset};
+  std::string bytes;
+  if (!absl::Base64Unescape({text.data(), text.size()}, &bytes)) {
+    return stored;
+  }
+  const auto message = DecodeBody(bytes);
+  if (!message.ok() || !message->__isset.claim) {
+    return stored;
+  }
+  const gen::Claim& claim = message->claim;
+  stored.age = Duration(now_us - claim.written_us);
+  stored.record = policy::ClaimRecord{.kind = static_cast<policy::ClaimKind>(claim.kind),
+                                      .key = {Unsigned(claim.key)},
+                                      .content = {Unsigned(claim.content)},
+                                      .customer = {Unsigned(claim.customer)},
+                                      .nonce = {Unsigned(claim.nonce)},
+                                      .agent = {Unsigned(claim.agent)}};
+  if (claim.__isset.answer) {
+    stored.record.answer = std::make_shared<const policy::KeptAnswer>(
+        policy::KeptAnswer{.status = static_cast<unsigned>(claim.answer.status),
+                           .content_type = claim.answer.content_type,
+                           .body = claim.answer.body});
+  }
+  return stored;
+}
+
 }  // namespace lagoonwind::wire
--- /dev/null
+++ b/tests/proofs/at_most_once_test.cc
@@ -0,0 +1,138 @@
+#include <doctest/doctest.h>
+
+#include "fault_world.h"
+
+namespace lagoonwind::testing {
+namespace {
+
+constexpr std::uint32_t kSchedules = 1000;
+
+struct Totals {
+  int requests = 0;
+  int complete = 0;
+  int not_run = 0;
+  int refused_by_log = 0;
+  int repeated_answers = 0;
+};
+
+/// Requests with a key count by key, others by themselves.
+void CheckRunsOnce(const FaultWorld& world) {
+  std::map<std::string, int> by_key;
+  std::map<RequestId, int> by_request;
+  for (const auto& run : world.runs()) {
+    const bool keyed = !run.key.empty();
+    const int times = keyed ? ++by_key[run.key] : ++by_request[run.request];
+    CHECK(times == 1);
+  }
+}
+
+void CheckFate(const FaultWorld& world, RequestId id, const RequestFate& fate, Totals& totals) {
+  ++totals.requests;
+  CHECK((fate.outcome.has_value() || fate.entry_died));
+  CHECK(fate.answers <= 1);
+  const auto ran = std::ranges::find(world.runs(), id, &ServiceRun::request);
+  if (fate.outcome == policy::Outcome::kNotRun) {
+    ++totals.not_run;
+    totals.refused_by_log += fate.reason == policy::Reason::kLogUnavailable ? 1 : 0;
+    CHECK(ran == world.runs().end());
+  }
+  if (fate.outcome == policy::Outcome::kNotRun && fate.reason == policy::Reason::kKeyConflict) {
+    CHECK(std::ranges::none_of(world.runs(), [&](const ServiceRun& run) {
+      return run.key == fate.key && run.content == fate.content && run.started <= fate.told;
+    }));
+  }
+  if (fate.outcome == policy::Outcome::kComplete) {
+    ++totals.complete;
+    totals.repeated_answers += ran == world.runs().end() ? 1 : 0;
+    CHECK(std::ranges::any_of(world.runs(), [&](const ServiceRun& run) {
+      return run.key == fate.key && run.content == fate.content && run.answer == fate.answer &&
+             (!run.key.empty() || run.request == id);
+    }));
+  }
+}
+
+/// A key whose claims were all released can be used again.
+void CheckLastCalls(const FaultWorld& world) {
+  for (const RequestId id : world.last_calls()) {
+    const RequestFate& fate = world.fates().at(id);
+    const bool ran = std::ranges::count(world.runs(), fate.key, &ServiceRun::key) > 0;
+    CHECK(ran);
+    CHECK((fate.outcome == policy::Outcome::kComplete ||
+           fate.reason == policy::Reason::kKeyRunning ||
+           fate.reason == policy::Reason::kKeyConflict));
+  }
+}
+
+Totals Explore(FaultOptions options) {
+  Totals totals;
+  for (std::uint32_t seed = 1; seed <= kSchedules; ++seed) {
+    options.seed = seed;
+    FaultWorld world(options);
+    world.Run();
+    INFO("seed " << seed);
+    CheckRunsOnce(world);
+    if (!options.kills && options.retain > 1) {
+      CheckLastCalls(world);
+    }
+    for (const auto& [id, fate] : world.fates()) {
+      CheckFate(world, id, fate, totals);
+    }
+  }
+  MESSAGE(totals.requests << " requests, " << totals.complete << " complete, " << totals.not_run
+                          << " not run, " << totals.refused_by_log << " of them by the log, "
+                          << totals.repeated_answers << " answers given again");
+  return totals;
+}
+
+TEST_CASE("no key runs twice, every outcome is true, every answer is whole: all faults at once") {
+  const Totals totals = Explore({});
+  CHECK(totals.complete > totals.requests / 5);
+  CHECK(totals.repeated_answers > 0);
+}
+
+TEST_CASE("records that the log drops within the window let no key run twice") {
+  const Totals totals = Explore({.retain = 1});
+  CHECK(totals.refused_by_log > 0);
+}
+
+TEST_CASE("as long as no agent dies, no key is left blocked by a call that never ran") {
+  Explore({.kills = false});
+}
+
+TEST_CASE("without faults every call with a new key is complete") {
+  const Totals totals = Explore({.kills = false,
+                                 .cuts = false,
+                                 .freezes = false,
+                                 .doubled_messages = false,
+                                 .log_faults = false});
+  CHECK(totals.complete > totals.requests / 2);
+  CHECK(totals.refused_by_log == 0);
+}
+
+TEST_CASE("a holder that was paused until others may have forgotten its claim doesn't run") {
+  auto agent = policy::MakePolicy({.role = policy::Role::kAgent, .name = "agent"});
+  const auto rules = TestRules("service bookings once window 10s # asked by: b\n");
+  const auto target = HandleOf<TargetId>("bookings");
+  const policy::OfferReceived offer{
+      .entry = HandleOf<MemberId>("entry"),
+      .attempt = {.request = {.entry = {1}, .number = 1}, .attempt = 1},
+      .traits = {.customer = {2}, .target = target, .repeatable = false, .key = {8}}};
+  agent->Step(Time{}, std::vector<policy::Event>{
+                          policy::ConfigurationAccepted{.configuration = rules},
+                          policy::BackendObserved{.reachable = true, .targets = {target}}});
+  const auto claimed = agent->Step(Time{}, std::vector<policy::Event>{policy::ClaimsRead{}, offer});
+  const auto append = std::ranges::find_if(claimed, [](const policy::Action& action) {
+    return std::holds_alternative<policy::AppendClaim>(action);
+  });
+  REQUIRE(append != claimed.end());
+  const auto& record = std::get<policy::AppendClaim>(*append).record;
+  const std::vector<policy::Event> read_back{
+      policy::ClaimAppended{.nonce = record.nonce},
+      policy::ClaimsRead{.next_offset = 1, .records = {{.record = record}}}};
+  for (const auto& action : agent->Step(Time(std::chrono::hours(1)), read_back)) {
+    CHECK(!std::holds_alternative<policy::StartAttempt>(action));
+  }
+}
+
+}  // namespace
+}  // namespace lagoonwind::testing
--- /dev/null
+++ b/tests/support/fault_world.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "caller_request.h"
+#include "lagoonwind/policy.h"
+
+/// \file
+/// Entries, agents, their links, a log and plain services in virtual time, with faults of all kinds
+/// drawn from a seed. The decisions are the shipped ones; everything around them is a small fake.
+namespace lagoonwind::testing {
+
+/// One customer and the given target rules, in force.
+std::shared_ptr<const Configuration> TestRules(const std::string& targets);
+
+/// Which faults a schedule draws.
+struct FaultOptions {
+  std::uint32_t seed = 1;
+  bool kills = true;
+  bool cuts = true;
+  bool freezes = true;
+  bool doubled_messages = true;
+  bool log_faults = true;
+  bool drains = false;
+  /// Records that each log stream keeps.
+  std::size_t retain = 1000;
+};
+
+/// What became of one request.
+struct RequestFate {
+  std::string key;
+  std::string content;
+  std::optional<policy::Outcome> outcome;
+  policy::Reason reason = policy::Reason::kNone;
+  std::string answer;
+  int answers = 0;
+  bool entry_died = false;
+  /// When the caller got the outcome.
+  Time told;
+};
+
+/// One run on a plain service.
+struct ServiceRun {
+  RequestId request;
+  std::string key;
+  std::string content;
+  std::string answer;
+  Time started;
+};
+
+/// Runs one schedule. Not thread safe.
+class FaultWorld {
+ public:
+  explicit FaultWorld(const FaultOptions& options);
+  ~FaultWorld();
+
+  /// Callers send and faults strike for a time; then all faults end and the rest plays out.
+  void Run();
+
+  [[nodiscard]] const std::map<RequestId, RequestFate>& fates() const { return fates_; }
+  /// Calls with each key after all faults.
+  [[nodiscard]] const std::vector<RequestId>& last_calls() const { return last_calls_; }
+  [[nodiscard]] const std::vector<ServiceRun>& runs() const { return runs_; }
+
+ private:
+  struct Node {
+    std::string name;
+    policy::Role role = policy::Role::kEntry;
+    std::unique_ptr<policy::Policy> policy;
+    Incarnation incarnation;
+    Time thaw;
+    std::vector<policy::Event> inbox;
+    /// Links by peer name; a message of an older epoch is lost.
+    std::map<std::string, std::uint64_t> epochs;
+
+    [[nodiscard]] MemberId id() const { return HandleOf<MemberId>(name); }
+    [[nodiscard]] policy::Member member() const {
+      return {
+          .id = id(), .name = name, .role = role, .zone = HandleOf<ZoneId>("z"), .address = name};
+    }
+  };
+  struct LogStream {
+    std::int64_t first = 0;
+    std::deque<std::pair<Time, policy::ClaimRecord>> records;
+  };
+
+  bool Chance(double probability);
+  Duration Between(int least_ms, int most_ms);
+  void After(Duration delay, std::function<void()> what);
+  void Advance(Time until, Duration step);
+
+  void Start(Node& node);
+  void Kill(Node& node);
+  void Link(Node& entry, Node& agent);
+  void Cut(Node& entry, Node& agent);
+  void Send(Node& from, Node& to, const policy::Event& event);
+  void Deliver(Node& to, policy::Event event);
+  void Step(Node& node);
+  void StrikeAtRandom();
+
+  void Execute(Node& node, const policy::Action& action);
+  void ExecuteAtEntry(Node& node, const policy::Action& action);
+  void Offer(Node& entry, const policy::SendOffer& offer);
+  void Append(Node& node, const policy::AppendClaim& append);
+  void Store(const policy::AppendClaim& append);
+  void Read(Node& node, const policy::ReadClaims& read);
+  void RunCall(Node& agent, MemberId entry, AttemptId attempt);
+  void Answer(Node& agent, MemberId entry, AttemptId attempt, const std::string& body);
+  void FinishCall(Node& agent, MemberId entry, AttemptId attempt, std::size_t run);
+  void Part(Node& agent, MemberId entry, AttemptId attempt,
+            const std::function<void(runtime::CallerRequest&)>& deliver);
+  void Call(const std::string& key, const std::string& content);
+  http::asio::awaitable<void> Collect(std::shared_ptr<runtime::CallerRequest> request);
+  Node& NodeOf(MemberId id);
+
+  FaultOptions options_;
+  std::mt19937 random_;
+  Time now_;
+  std::multimap<Time, std::function<void()>> agenda_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::map<std::uint32_t, LogStream> log_;
+  bool log_down_ = false;
+  bool faults_ = true;
+  std::uint64_t last_number_ = 0;
+  std::uint64_t last_incarnation_ = 0;
+  http::asio::io_context io_;
+  std::map<RequestId, RequestFate> fates_;
+  std::map<RequestId, std::shared_ptr<runtime::CallerRequest>> requests_;
+  std::vector<ServiceRun> runs_;
+  std::vector<RequestId> last_calls_;
+};
+
+}  // namespace lagoonwind::testing
