--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 
 #include <deque>
 #include <memory>
@@ -8,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "claim_table.h"
 #include "lagoonwind/policy.h"
 #include "lagoonwind/rules_history.h"
 
@@ -107,6 +109,20 @@
   bool answer_started = false;
   /// When the last streamed token arrived.
   std::optional<Time> last_token;
+  /// Waits for its claim; nothing was sent to the backend server yet.
+  bool awaits_claim = false;
+};
+
+/// Bounded memory of attempts whose offers were taken; forgets the oldest. Not thread safe.
+class SeenOffers {
+ public:
+  /// \return False if the attempt was seen before.
+  bool Add(AttemptId attempt);
+  [[nodiscard]] bool Contains(AttemptId attempt) const { return seen_.contains(attempt); }
+
+ private:
+  absl::btree_set<AttemptId> seen_;
+  std::deque<AttemptId> order_;
 };
 
 struct BackendState {
@@ -161,6 +177,11 @@
   absl::btree_map<DemandKey, DemandState> demand;
   absl::btree_map<GrantId, GrantState> grants;
   absl::btree_map<AttemptId, RunningAttempt> running;
+  SeenOffers seen_offers;
+  // Agent: ClaimsController.
+  ClaimTable claims;
+  /// Offers of this step that were answered without a run.
+  absl::btree_set<AttemptId> settled_offers;
   // Agent: WarmUpController.
   BackendState backend;
   // Agent: FairShareController. Service per customer, in units of service.
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -34,6 +34,7 @@
   AddCommonControllers(list);
   list.push_back(MakeWarmUpController());
   list.push_back(MakeFairShareController());
+  list.push_back(MakeClaimsController());
   list.push_back(MakeAdmissionController());
   list.push_back(MakeReportController());
   return list;
--- a/packages/runtime/src/attempt_run.cc
+++ b/packages/runtime/src/attempt_run.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "lagoonwind/limits.h"
+
 namespace lagoonwind::runtime {
 namespace {
 
@@ -98,6 +100,8 @@
   if (!streams_) {
     context_.policy.Post(policy::AnswerStarted{.attempt = id_});
   }
+  kept_.status = head.status;
+  kept_.content_type = head.content_type;
 }
 
 void AttemptRun::OnData(std::string_view data, std::uint32_t tokens) {
@@ -107,6 +111,9 @@
   message.chunk.offset = static_cast<std::int64_t>(sent_);
   message.chunk.data = std::string(data);
   sent_ += data.size();
+  if (claimed() && sent_ <= limits::kMaxKeptAnswerBytes) {
+    kept_.body += data;
+  }
   context_.links.Send(entry_, message);
   if (tokens > 0) {
     ChargeTokens(tokens);
@@ -135,7 +142,27 @@
   context_.metrics.ServiceCharged(offer_.customer_name, service);
 }
 
+std::shared_ptr<const policy::KeptAnswer> AttemptRun::TakeKept() {
+  if (!claimed() || sent_ > limits::kMaxKeptAnswerBytes) {
+    return nullptr;
+  }
+  return std::make_shared<const policy::KeptAnswer>(std::move(kept_));
+}
+
 void AttemptRun::End(CallResult result) {
+  policy::AttemptFinished finished{
+      .attempt = id_, .result = ResultOf(result), .reason = ReasonOf(result)};
+  finished.answer = result == CallResult::kComplete ? TakeKept() : nullptr;
+  LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
+            << " customer=" << offer_.customer_name << " reason=" << policy::Name(finished.reason);
+  // The decisions tell the entry of a claimed call that never ran, once its claim is released.
+  if (!claimed() || result != CallResult::kNotRun) {
+    SendEnd(result);
+  }
+  context_.policy.Post(std::move(finished));
+}
+
+void AttemptRun::SendEnd(CallResult result) {
   wire::Message message;
   message.__set_ended({});
   message.ended.attempt = offer_.attempt;
@@ -143,10 +170,6 @@
   message.ended.reason = static_cast<std::int32_t>(ReasonOf(result));
   message.ended.length = static_cast<std::int64_t>(sent_);
   context_.links.Send(entry_, message);
-  context_.policy.Post(policy::AttemptFinished{
-      .attempt = id_, .result = ResultOf(result), .reason = ReasonOf(result)});
-  LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
-            << " customer=" << offer_.customer_name << " reason=" << policy::Name(ReasonOf(result));
 }
 
 }  // namespace lagoonwind::runtime
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -1128,6 +1128,10 @@
 void Offer::__set_idempotency_key(const std::string& val) {
   this->idempotency_key = val;
 }
+
+void Offer::__set_key_age_us(const int64_t val) {
+  this->key_age_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const Offer& obj)
 {
   obj.printTo(out);
@@ -1268,6 +1272,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->key_age_us);
+          this->__isset.key_age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1341,6 +1353,10 @@
   xfer += oprot->writeString(this->idempotency_key);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("key_age_us", ::apache::thrift::protocol::T_I64, 40);
+  xfer += oprot->writeI64(this->key_age_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1362,6 +1378,7 @@
   swap(a.body, b.body);
   swap(a.customer_name, b.customer_name);
   swap(a.idempotency_key, b.idempotency_key);
+  swap(a.key_age_us, b.key_age_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -1380,6 +1397,7 @@
   body = other28.body;
   customer_name = other28.customer_name;
   idempotency_key = other28.idempotency_key;
+  key_age_us = other28.key_age_us;
   __isset = other28.__isset;
 }
 Offer::Offer(Offer&& other29) noexcept {
@@ -1397,6 +1415,7 @@
   body = std::move(other29.body);
   customer_name = std::move(other29.customer_name);
   idempotency_key = std::move(other29.idempotency_key);
+  key_age_us = other29.key_age_us;
   __isset = other29.__isset;
 }
 Offer& Offer::operator=(const Offer& other30) {
@@ -1414,6 +1433,7 @@
   body = other30.body;
   customer_name = other30.customer_name;
   idempotency_key = other30.idempotency_key;
+  key_age_us = other30.key_age_us;
   __isset = other30.__isset;
   return *this;
 }
@@ -1432,6 +1452,7 @@
   body = std::move(other31.body);
   customer_name = std::move(other31.customer_name);
   idempotency_key = std::move(other31.idempotency_key);
+  key_age_us = other31.key_age_us;
   __isset = other31.__isset;
   return *this;
 }
@@ -1452,6 +1473,7 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "customer_name=" << to_string(customer_name);
   out << ", " << "idempotency_key=" << to_string(idempotency_key);
+  out << ", " << "key_age_us=" << to_string(key_age_us);
   out << ")";
 }
 
@@ -2981,6 +3003,531 @@
 }
 
 
+KeptAnswer::~KeptAnswer() noexcept {
+}
+
+
+void KeptAnswer::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void KeptAnswer::__set_content_type(const std::string& val) {
+  this->content_type = val;
+}
+
+void KeptAnswer::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeptAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeptAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->content_type);
+          this->__isset.content_type = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeptAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeptAnswer");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->content_type);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeptAnswer &a, KeptAnswer &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.content_type, b.content_type);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+KeptAnswer::KeptAnswer(const KeptAnswer& other88) {
+  status = other88.status;
+  content_type = other88.content_type;
+  body = other88.body;
+  __isset = other88.__isset;
+}
+KeptAnswer::KeptAnswer(KeptAnswer&& other89) noexcept {
+  status = other89.status;
+  content_type = std::move(other89.content_type);
+  body = std::move(other89.body);
+  __isset = other89.__isset;
+}
+KeptAnswer& KeptAnswer::operator=(const KeptAnswer& other90) {
+  status = other90.status;
+  content_type = other90.content_type;
+  body = other90.body;
+  __isset = other90.__isset;
+  return *this;
+}
+KeptAnswer& KeptAnswer::operator=(KeptAnswer&& other91) noexcept {
+  status = other91.status;
+  content_type = std::move(other91.content_type);
+  body = std::move(other91.body);
+  __isset = other91.__isset;
+  return *this;
+}
+void KeptAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeptAnswer(";
+  out << "status=" << to_string(status);
+  out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+Claim::~Claim() noexcept {
+}
+
+
+void Claim::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void Claim::__set_key(const int64_t val) {
+  this->key = val;
+}
+
+void Claim::__set_content(const int64_t val) {
+  this->content = val;
+}
+
+void Claim::__set_customer(const int64_t val) {
+  this->customer = val;
+}
+
+void Claim::__set_nonce(const int64_t val) {
+  this->nonce = val;
+}
+
+void Claim::__set_agent(const int64_t val) {
+  this->agent = val;
+}
+
+void Claim::__set_written_us(const int64_t val) {
+  this->written_us = val;
+}
+
+void Claim::__set_answer(const KeptAnswer& val) {
+  this->answer = val;
+__isset.answer = true;
+}
+std::ostream& operator<<(std::ostream& out, const Claim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Claim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agent);
+          this->__isset.agent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->written_us);
+          this->__isset.written_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Claim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Claim");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agent", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->agent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("written_us", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->written_us);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Claim &a, Claim &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.key, b.key);
+  swap(a.content, b.content);
+  swap(a.customer, b.customer);
+  swap(a.nonce, b.nonce);
+  swap(a.agent, b.agent);
+  swap(a.written_us, b.written_us);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+Claim::Claim(const Claim& other92) {
+  kind = other92.kind;
+  key = other92.key;
+  content = other92.content;
+  customer = other92.customer;
+  nonce = other92.nonce;
+  agent = other92.agent;
+  written_us = other92.written_us;
+  answer = other92.answer;
+  __isset = other92.__isset;
+}
+Claim::Claim(Claim&& other93) noexcept {
+  kind = other93.kind;
+  key = other93.key;
+  content = other93.content;
+  customer = other93.customer;
+  nonce = other93.nonce;
+  agent = other93.agent;
+  written_us = other93.written_us;
+  answer = std::move(other93.answer);
+  __isset = other93.__isset;
+}
+Claim& Claim::operator=(const Claim& other94) {
+  kind = other94.kind;
+  key = other94.key;
+  content = other94.content;
+  customer = other94.customer;
+  nonce = other94.nonce;
+  agent = other94.agent;
+  written_us = other94.written_us;
+  answer = other94.answer;
+  __isset = other94.__isset;
+  return *this;
+}
+Claim& Claim::operator=(Claim&& other95) noexcept {
+  kind = other95.kind;
+  key = other95.key;
+  content = other95.content;
+  customer = other95.customer;
+  nonce = other95.nonce;
+  agent = other95.agent;
+  written_us = other95.written_us;
+  answer = std::move(other95.answer);
+  __isset = other95.__isset;
+  return *this;
+}
+void Claim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Claim(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "content=" << to_string(content);
+  out << ", " << "customer=" << to_string(customer);
+  out << ", " << "nonce=" << to_string(nonce);
+  out << ", " << "agent=" << to_string(agent);
+  out << ", " << "written_us=" << to_string(written_us);
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Credit::~Credit() noexcept {
+}
+
+
+void Credit::__set_attempt(const Attempt& val) {
+  this->attempt = val;
+}
+
+void Credit::__set_taken(const int64_t val) {
+  this->taken = val;
+}
+std::ostream& operator<<(std::ostream& out, const Credit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Credit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->attempt.read(iprot);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->taken);
+          this->__isset.taken = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Credit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Credit");
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->attempt.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("taken", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->taken);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Credit &a, Credit &b) {
+  using ::std::swap;
+  swap(a.attempt, b.attempt);
+  swap(a.taken, b.taken);
+  swap(a.__isset, b.__isset);
+}
+
+Credit::Credit(const Credit& other96) noexcept {
+  attempt = other96.attempt;
+  taken = other96.taken;
+  __isset = other96.__isset;
+}
+Credit::Credit(Credit&& other97) noexcept {
+  attempt = std::move(other97.attempt);
+  taken = other97.taken;
+  __isset = other97.__isset;
+}
+Credit& Credit::operator=(const Credit& other98) noexcept {
+  attempt = other98.attempt;
+  taken = other98.taken;
+  __isset = other98.__isset;
+  return *this;
+}
+Credit& Credit::operator=(Credit&& other99) noexcept {
+  attempt = std::move(other99.attempt);
+  taken = other99.taken;
+  __isset = other99.__isset;
+  return *this;
+}
+void Credit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Credit(";
+  out << "attempt=" << to_string(attempt);
+  out << ", " << "taken=" << to_string(taken);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -3069,6 +3616,16 @@
   this->configuration_text = val;
 __isset.configuration_text = true;
 }
+
+void Message::__set_claim(const Claim& val) {
+  this->claim = val;
+__isset.claim = true;
+}
+
+void Message::__set_credit(const Credit& val) {
+  this->credit = val;
+__isset.credit = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -3233,6 +3790,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claim.read(iprot);
+          this->__isset.claim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 41:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->credit.read(iprot);
+          this->__isset.credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3325,6 +3898,16 @@
     xfer += this->agent_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.claim) {
+    xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 40);
+    xfer += this->claim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.credit) {
+    xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_STRUCT, 41);
+    xfer += this->credit.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.configuration_request) {
     xfer += oprot->writeFieldBegin("configuration_request", ::apache::thrift::protocol::T_STRUCT, 50);
     xfer += this->configuration_request.write(oprot);
@@ -3359,89 +3942,99 @@
   swap(a.agent_report, b.agent_report);
   swap(a.configuration_request, b.configuration_request);
   swap(a.configuration_text, b.configuration_text);
+  swap(a.claim, b.claim);
+  swap(a.credit, b.credit);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other88) {
-  hello = other88.hello;
-  proof = other88.proof;
-  ping = other88.ping;
-  leaving = other88.leaving;
-  offer = other88.offer;
-  queued = other88.queued;
-  started = other88.started;
-  head = other88.head;
-  chunk = other88.chunk;
-  ended = other88.ended;
-  cancel = other88.cancel;
-  demand = other88.demand;
-  grant = other88.grant;
-  decline = other88.decline;
-  agent_report = other88.agent_report;
-  configuration_request = other88.configuration_request;
-  configuration_text = other88.configuration_text;
-  __isset = other88.__isset;
-}
-Message::Message(Message&& other89) noexcept {
-  hello = std::move(other89.hello);
-  proof = std::move(other89.proof);
-  ping = std::move(other89.ping);
-  leaving = std::move(other89.leaving);
-  offer = std::move(other89.offer);
-  queued = std::move(other89.queued);
-  started = std::move(other89.started);
-  head = std::move(other89.head);
-  chunk = std::move(other89.chunk);
-  ended = std::move(other89.ended);
-  cancel = std::move(other89.cancel);
-  demand = std::move(other89.demand);
-  grant = std::move(other89.grant);
-  decline = std::move(other89.decline);
-  agent_report = std::move(other89.agent_report);
-  configuration_request = std::move(other89.configuration_request);
-  configuration_text = std::move(other89.configuration_text);
-  __isset = other89.__isset;
-}
-Message& Message::operator=(const Message& other90) {
-  hello = other90.hello;
-  proof = other90.proof;
-  ping = other90.ping;
-  leaving = other90.leaving;
-  offer = other90.offer;
-  queued = other90.queued;
-  started = other90.started;
-  head = other90.head;
-  chunk = other90.chunk;
-  ended = other90.ended;
-  cancel = other90.cancel;
-  demand = other90.demand;
-  grant = other90.grant;
-  decline = other90.decline;
-  agent_report = other90.agent_report;
-  configuration_request = other90.configuration_request;
-  configuration_text = other90.configuration_text;
-  __isset = other90.__isset;
+Message::Message(const Message& other100) {
+  hello = other100.hello;
+  proof = other100.proof;
+  ping = other100.ping;
+  leaving = other100.leaving;
+  offer = other100.offer;
+  queued = other100.queued;
+  started = other100.started;
+  head = other100.head;
+  chunk = other100.chunk;
+  ended = other100.ended;
+  cancel = other100.cancel;
+  demand = other100.demand;
+  grant = other100.grant;
+  decline = other100.decline;
+  agent_report = other100.agent_report;
+  configuration_request = other100.configuration_request;
+  configuration_text = other100.configuration_text;
+  claim = other100.claim;
+  credit = other100.credit;
+  __isset = other100.__isset;
+}
+Message::Message(Message&& other101) noexcept {
+  hello = std::move(other101.hello);
+  proof = std::move(other101.proof);
+  ping = std::move(other101.ping);
+  leaving = std::move(other101.leaving);
+  offer = std::move(other101.offer);
+  queued = std::move(other101.queued);
+  started = std::move(other101.started);
+  head = std::move(other101.head);
+  chunk = std::move(other101.chunk);
+  ended = std::move(other101.ended);
+  cancel = std::move(other101.cancel);
+  demand = std::move(other101.demand);
+  grant = std::move(other101.grant);
+  decline = std::move(other101.decline);
+  agent_report = std::move(other101.agent_report);
+  configuration_request = std::move(other101.configuration_request);
+  configuration_text = std::move(other101.configuration_text);
+  claim = std::move(other101.claim);
+  credit = std::move(other101.credit);
+  __isset = other101.__isset;
+}
+Message& Message::operator=(const Message& other102) {
+  hello = other102.hello;
+  proof = other102.proof;
+  ping = other102.ping;
+  leaving = other102.leaving;
+  offer = other102.offer;
+  queued = other102.queued;
+  started = other102.started;
+  head = other102.head;
+  chunk = other102.chunk;
+  ended = other102.ended;
+  cancel = other102.cancel;
+  demand = other102.demand;
+  grant = other102.grant;
+  decline = other102.decline;
+  agent_report = other102.agent_report;
+  configuration_request = other102.configuration_request;
+  configuration_text = other102.configuration_text;
+  claim = other102.claim;
+  credit = other102.credit;
+  __isset = other102.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other91) noexcept {
-  hello = std::move(other91.hello);
-  proof = std::move(other91.proof);
-  ping = std::move(other91.ping);
-  leaving = std::move(other91.leaving);
-  offer = std::move(other91.offer);
-  queued = std::move(other91.queued);
-  started = std::move(other91.started);
-  head = std::move(other91.head);
-  chunk = std::move(other91.chunk);
-  ended = std::move(other91.ended);
-  cancel = std::move(other91.cancel);
-  demand = std::move(other91.demand);
-  grant = std::move(other91.grant);
-  decline = std::move(other91.decline);
-  agent_report = std::move(other91.agent_report);
-  configuration_request = std::move(other91.configuration_request);
-  configuration_text = std::move(other91.configuration_text);
-  __isset = other91.__isset;
+Message& Message::operator=(Message&& other103) noexcept {
+  hello = std::move(other103.hello);
+  proof = std::move(other103.proof);
+  ping = std::move(other103.ping);
+  leaving = std::move(other103.leaving);
+  offer = std::move(other103.offer);
+  queued = std::move(other103.queued);
+  started = std::move(other103.started);
+  head = std::move(other103.head);
+  chunk = std::move(other103.chunk);
+  ended = std::move(other103.ended);
+  cancel = std::move(other103.cancel);
+  demand = std::move(other103.demand);
+  grant = std::move(other103.grant);
+  decline = std::move(other103.decline);
+  agent_report = std::move(other103.agent_report);
+  configuration_request = std::move(other103.configuration_request);
+  configuration_text = std::move(other103.configuration_text);
+  claim = std::move(other103.claim);
+  credit = std::move(other103.credit);
+  __isset = other103.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3464,6 +4057,8 @@
   out << ", " << "agent_report="; (__isset.agent_report ? (out << to_string(agent_report)) : (out << "<null>"));
   out << ", " << "configuration_request="; (__isset.configuration_request ? (out << to_string(configuration_request)) : (out << "<null>"));
   out << ", " << "configuration_text="; (__isset.configuration_text ? (out << to_string(configuration_text)) : (out << "<null>"));
+  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
+  out << ", " << "credit="; (__isset.credit ? (out << to_string(credit)) : (out << "<null>"));
   out << ")";
 }
 
