--- a/packages/policy/src/blackboard.cc
+++ b/packages/policy/src/blackboard.cc
@@ -45,8 +45,8 @@
 bool Blackboard::Closed() const { return ClosedReason() != Reason::kNone; }
 
 std::uint32_t Blackboard::Room() const {
-  const auto used = static_cast<std::uint32_t>(running.size() + grants.size());
-  if (Closed() || !backend.reachable || used >= backend.window) {
+  const auto used = static_cast<std::uint32_t>(running.size() + grants.size()) + backend.foreign;
+  if (Closed() || !backend.reachable || backend.stalled || used >= backend.window) {
     return 0;
   }
   return backend.window - used;
