--- a/apps/lagoonctl/commands.h
+++ b/apps/lagoonctl/commands.h
@@ -1,7 +1,9 @@
 #pragma once
 
-#include <span>
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "daemon_client.h"
 
@@ -9,13 +11,26 @@
 /// The commands of lagoonctl. Each returns the exit code of the process.
 namespace lagoonwind::ctl {
 
+enum class Output {
+  kTable,
+  kJson,
+  /// Only `load` has it; elsewhere it equals kTable.
+  kCsv,
+};
+
 struct CommonOptions {
   std::vector<std::string> daemons;
-  bool json = false;
+  Output output = Output::kTable;
 };
 
+/// Reads a whole file; tells stderr and gives nothing if that fails.
+std::optional<std::string> ReadFile(const std::string& path);
+
 int RulesCheck(const std::string& file);
+/// Prints how a file differs from the rules in force.
+int RulesDiff(const CommonOptions& common, const std::string& file);
 int RulesApply(const CommonOptions& common, const std::string& file, bool wait);
+int RulesHistoryList(const CommonOptions& common);
 int ShowStatus(const CommonOptions& common);
 /// \param subject  `request=ID`, `customer=NAME` or `backend=NAME`.
 int Explain(const CommonOptions& common, const std::string& subject);
@@ -26,7 +41,10 @@
   /// TOML file that describes the streams of requests.
   std::string mix;
   double seconds = 5;
+  int most_requests = 100'000;
   std::uint64_t seed = 1;
+  /// File for the plot; empty for none.
+  std::string plot;
 };
 int Load(const CommonOptions& common, const LoadOptions& options);
 
--- /dev/null
+++ b/apps/lagoonctl/load_run.cc
@@ -0,0 +1,174 @@
+#include "load_run.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+#include "load_answer.h"
+
+namespace lagoonwind::ctl {
+namespace {
+
+namespace asio = http::asio;
+using nlohmann::json;
+
+constexpr std::chrono::minutes kAnswerTimeout{2};
+constexpr std::chrono::milliseconds kSampleInterval{100};
+constexpr std::chrono::milliseconds kFleetSampleInterval{500};
+constexpr int kSamplesPerProgress = 10;
+
+json MessagesOf(const LoadStream& stream, const std::string& key) {
+  const std::string filler(static_cast<std::size_t>(stream.prompt_bytes), 'x');
+  const json message{{"role", "user"}, {"content", key + filler}};
+  return json::array({message});
+}
+
+http::Request MakeRequest(const LoadStream& stream, const std::string& key) {
+  http::Request request{.method = "POST",
+                        .content_type = "application/json",
+                        .fields = {{"Authorization", "Bearer " + stream.token}}};
+  if (!stream.is_model()) {
+    const std::string filler(static_cast<std::size_t>(stream.prompt_bytes), 'x');
+    request.target = "/services/" + stream.target + "/runs";
+    request.fields.push_back({"Idempotency-Key", key});
+    request.body = json{{"booking", key + filler}}.dump();
+    return request;
+  }
+  const json body{{"model", stream.target},
+                  {"messages", MessagesOf(stream, key)},
+                  {"max_tokens", stream.max_tokens},
+                  {"stream", true}};
+  request.target = "/v1/chat/completions";
+  request.body = body.dump();
+  return request;
+}
+
+}  // namespace
+
+LoadRun::LoadRun(LoadRunOptions options, std::vector<LoadStream> streams)
+    : options_(std::move(options)),
+      streams_(std::move(streams)),
+      random_(options_.seed),
+      probe_(options_.daemons),
+      run_id_(absl::StrCat("load-", options_.seed, "-",
+                           std::chrono::system_clock::now().time_since_epoch().count())) {
+  for (const auto& stream : streams_) {
+    result_.tallies[stream.customer];
+  }
+}
+
+LoadResult LoadRun::Run() {
+  asio::co_spawn(io_, Main(), asio::detached);
+  io_.run();
+  return std::move(result_);
+}
+
+asio::awaitable<void> LoadRun::Main() {
+  co_await probe_.Begin();
+  for (auto& [customer, tally] : result_.tallies) {
+    const auto share = probe_.shares().find(customer);
+    tally.share = share == probe_.shares().end() ? 1 : share->second;
+  }
+  result_.shares_known = !probe_.shares().empty();
+  start_ = Clock::now();
+  arriving_ = streams_.size();
+  for (const auto& stream : streams_) {
+    asio::co_spawn(io_, Arrivals(stream), asio::detached);
+  }
+  if (!probe_.empty()) {
+    asio::co_spawn(io_, SampleFleet(), asio::detached);
+  }
+  co_await SampleTallies();
+  result_.seconds = std::chrono::duration<double>(Clock::now() - start_).count();
+  result_.fairness_gap = meter_.gap();
+  result_.widest = meter_.widest();
+  result_.use = co_await probe_.End();
+}
+
+asio::awaitable<void> LoadRun::Arrivals(const LoadStream& stream) {
+  asio::steady_timer timer(io_);
+  std::exponential_distribution<double> gap(stream.rate);
+  std::chrono::duration<double> at{gap(random_)};
+  while (at.count() < options_.seconds) {
+    timer.expires_at(start_ + std::chrono::duration_cast<Clock::duration>(at));
+    co_await timer.async_wait(asio::use_awaitable);
+    if (sent_ >= options_.most_requests) {
+      break;
+    }
+    asio::co_spawn(io_, SendOne(stream, ++sent_), asio::detached);
+    at += std::chrono::duration<double>(gap(random_));
+  }
+  --arriving_;
+}
+
+asio::awaitable<void> LoadRun::SendOne(const LoadStream& stream, int number) {
+  const std::string key = absl::StrCat(run_id_, "-", number);
+  const std::string entry =
+      options_.entries[static_cast<std::size_t>(number) % options_.entries.size()];
+  Tally& tally = result_.tallies[stream.customer];
+  ++tally.sent;
+  ++tally.unanswered;
+  ++outstanding_;
+  const std::string own = stream.is_model() ? StandInMark(MessagesOf(stream, key).dump()) : key;
+  LoadAnswer answer(stream, own, Clock::now(), tally);
+  // Named, since GCC 12 destroys such temporaries of a co_await expression twice.
+  http::Request request = MakeRequest(stream, key);
+  http::PartSink sink = [&](std::string_view part) { answer.OnPart(part, Clock::now()); };
+  const auto response =
+      co_await http::FetchStream(entry, std::move(request), kAnswerTimeout, std::move(sink));
+  if (response.ok()) {
+    answer.OnEnd(response->status, http::FindField(response->fields, "Lagoonwind-Outcome"),
+                 response->body, Clock::now());
+  } else {
+    answer.OnEnd(0, absl::IsUnavailable(response.status()) ? "not-run" : "unknown", "",
+                 Clock::now());
+  }
+  --outstanding_;
+}
+
+asio::awaitable<void> LoadRun::SampleTallies() {
+  asio::steady_timer timer(io_);
+  for (int sample = 1; !Over(); ++sample) {
+    TakeSample();
+    if (options_.progress && sample % kSamplesPerProgress == 0) {
+      PrintProgress();
+    }
+    timer.expires_after(kSampleInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  TakeSample();
+}
+
+asio::awaitable<void> LoadRun::SampleFleet() {
+  asio::steady_timer timer(io_);
+  while (arriving_ > 0) {
+    co_await probe_.Sample();
+    timer.expires_after(kFleetSampleInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+void LoadRun::TakeSample() {
+  std::map<std::string, CustomerSample> customers;
+  LoadSample sample{.seconds = std::chrono::duration<double>(Clock::now() - start_).count()};
+  for (const auto& [customer, tally] : result_.tallies) {
+    customers[customer] = CustomerSample{
+        .service = tally.service, .share = tally.share, .backlogged = tally.unanswered > 0};
+    sample.service_per_share.push_back(tally.service / tally.share);
+  }
+  meter_.Sample(customers);
+  result_.samples.push_back(std::move(sample));
+}
+
+void LoadRun::PrintProgress() const {
+  const std::chrono::duration<double> passed = Clock::now() - start_;
+  std::cerr << absl::StrFormat("%.0f of %.0f s: %d sent, %d not over\n", passed.count(),
+                               options_.seconds, sent_, outstanding_);
+}
+
+}  // namespace lagoonwind::ctl
--- a/apps/lagoonctl/main.cc
+++ b/apps/lagoonctl/main.cc
@@ -1,86 +1,169 @@
 #include <cxxopts.hpp>
 #include <iostream>
+#include <span>
 
 #include "commands.h"
 
 namespace {
 
-using lagoonwind::ctl::CommonOptions;
-using lagoonwind::ctl::kExitDone;
-using lagoonwind::ctl::kExitUsage;
-using lagoonwind::ctl::LoadOptions;
+namespace ctl = lagoonwind::ctl;
+using Words = std::vector<std::string>;
 
-constexpr std::string_view kUsage = R"(
-Commands:
-  rules check FILE           check a rules file
+constexpr std::string_view kUsage = R"(Commands:
+  rules check FILE           check a rules file; nothing is sent
+  rules diff FILE            how a rules file differs from the rules in force
   rules apply FILE [--wait]  propose a rules file, and wait until it is in force
-  status                     what a daemon knows
-  explain SUBJECT            decisions about request=ID, customer=NAME or backend=NAME
+  rules history              which proposals were accepted, and why others weren't
+  status                     what the daemons know and do
+  explain SUBJECT            why: request=ID, customer=NAME or backend=NAME
   load                       send a mix of requests to --entry and report
 
+With several --daemon, rules commands use the first that answers; status and explain ask all.
+
 Examples:
-  lagoonctl --daemon 127.0.0.1:7000 rules apply rules.txt --wait
-  lagoonctl --daemon 127.0.0.1:7000 explain customer=saltline-erie
-  lagoonctl --entry 127.0.0.1:8000 --mix load.toml --seconds 5 load
+  lagoonctl rules check rules.txt
+  lagoonctl rules apply rules.txt --wait --daemon 127.0.0.1:7000
+  lagoonctl status --daemon 127.0.0.1:7000 --daemon 127.0.0.1:7001
+  lagoonctl explain customer=saltline-erie --daemon 127.0.0.1:7000
+  lagoonctl load --entry 127.0.0.1:8000 --mix load.toml --seconds 5 --plot load.svg
+
+Exit codes: 0 done, 1 refused, 2 usage, 3 not reachable.
 )";
 
-using Words = std::vector<std::string>;
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("lagoonctl", "Operators' tool of the lagoonwind router fleet.");
+  options.positional_help("COMMAND").add_options()(
+      "daemon", "operators' port of a daemon, IP:PORT; repeatable", cxxopts::value<Words>())(
+      "output", "table, json, or for load csv",
+      cxxopts::value<std::string>()->default_value("table"))(
+      "wait", "wait until the rules are in force", cxxopts::value<bool>())(
+      "entry", "callers' port of an entry, IP:PORT; repeatable", cxxopts::value<Words>())(
+      "mix", "TOML file with the streams of requests", cxxopts::value<std::string>())(
+      "seconds", "how long requests are sent, up to 3600",
+      cxxopts::value<double>()->default_value("5"))("requests", "most requests sent",
+                                                    cxxopts::value<int>()->default_value("100000"))(
+      "seed", "seed of arrivals", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "plot", "SVG file for service over time", cxxopts::value<std::string>()->default_value(""))(
+      "help", "print this help")("command", "command", cxxopts::value<Words>());
+  options.parse_positional({"command"});
+  return options;
+}
 
-int Usage(const cxxopts::Options& options) {
-  std::cerr << options.help() << kUsage;
-  return kExitUsage;
+int UsageError(const std::string& what) {
+  std::cerr << "lagoonctl: " << what << "; lagoonctl --help tells more\n";
+  return ctl::kExitUsage;
 }
 
-int Run(const cxxopts::Options& options, const cxxopts::ParseResult& parsed) {
-  const auto words = parsed.count("command") > 0 ? parsed["command"].as<Words>() : Words{};
-  CommonOptions common{.json = parsed["output"].as<std::string>() == "json"};
-  if (parsed.count("daemon") > 0) {
-    common.daemons = parsed["daemon"].as<Words>();
+std::optional<ctl::Output> OutputOf(const std::string& name) {
+  if (name == "table") {
+    return ctl::Output::kTable;
+  }
+  if (name == "json") {
+    return ctl::Output::kJson;
   }
-  if (words.size() == 3 && words[0] == "rules" && words[1] == "check") {
-    return lagoonwind::ctl::RulesCheck(words[2]);
+  return name == "csv" ? std::optional(ctl::Output::kCsv) : std::nullopt;
+}
+
+/// First address that isn't IP:PORT, or empty.
+std::string BadAddress(const Words& addresses) {
+  const auto bad = std::ranges::find_if(addresses, [](const std::string& address) {
+    return !lagoonwind::http::ParseEndpoint(address).ok();
+  });
+  return bad == addresses.end() ? "" : *bad;
+}
+
+Words ListOf(const cxxopts::ParseResult& parsed, const std::string& name) {
+  return parsed.count(name) > 0 ? parsed[name].as<Words>() : Words{};
+}
+
+int RunRules(const ctl::CommonOptions& common, std::span<const std::string> words, bool wait) {
+  if (words.size() == 1 && words[0] == "history") {
+    return ctl::RulesHistoryList(common);
   }
-  if (words.size() == 3 && words[0] == "rules" && words[1] == "apply") {
-    return lagoonwind::ctl::RulesApply(common, words[2], parsed["wait"].as<bool>());
+  if (words.size() != 2) {
+    return UsageError("rules needs check, diff or apply with a FILE, or history");
   }
-  if (words == Words{"status"}) {
-    return lagoonwind::ctl::ShowStatus(common);
+  if (words[0] == "check") {
+    return ctl::RulesCheck(words[1]);
   }
-  if (words.size() == 2 && words[0] == "explain") {
-    return lagoonwind::ctl::Explain(common, words[1]);
+  if (words[0] == "diff") {
+    return ctl::RulesDiff(common, words[1]);
   }
-  if (words == Words{"load"} && parsed.count("entry") > 0 && parsed.count("mix") > 0) {
-    return lagoonwind::ctl::Load(common, LoadOptions{.entries = parsed["entry"].as<Words>(),
-                                                     .mix = parsed["mix"].as<std::string>(),
-                                                     .seconds = parsed["seconds"].as<double>(),
-                                                     .seed = parsed["seed"].as<std::uint64_t>()});
+  if (words[0] == "apply") {
+    return ctl::RulesApply(common, words[1], wait);
   }
-  return Usage(options);
+  return UsageError("there is no 'rules " + words[0] + "'");
+}
+
+int RunLoad(const ctl::CommonOptions& common, const cxxopts::ParseResult& parsed) {
+  constexpr double kMostSeconds = 3600;
+  const ctl::LoadOptions options{
+      .entries = ListOf(parsed, "entry"),
+      .mix = parsed.count("mix") > 0 ? parsed["mix"].as<std::string>() : std::string(),
+      .seconds = parsed["seconds"].as<double>(),
+      .most_requests = parsed["requests"].as<int>(),
+      .seed = parsed["seed"].as<std::uint64_t>(),
+      .plot = parsed["plot"].as<std::string>()};
+  if (options.entries.empty() || options.mix.empty()) {
+    return UsageError("load needs --entry and --mix");
+  }
+  if (const auto bad = BadAddress(options.entries); !bad.empty()) {
+    return UsageError("--entry " + bad + " isn't an address; allowed is IP:PORT");
+  }
+  if (!(options.seconds > 0) || options.seconds > kMostSeconds || options.most_requests < 1) {
+    return UsageError("--seconds must be above 0 and up to 3600, --requests at least 1");
+  }
+  return ctl::Load(common, options);
+}
+
+bool NeedsDaemon(const Words& words) {
+  return words[0] != "load" && !(words[0] == "rules" && words.size() > 1 && words[1] == "check");
+}
+
+int Run(const cxxopts::ParseResult& parsed) {
+  const Words words = ListOf(parsed, "command");
+  const auto output = OutputOf(parsed["output"].as<std::string>());
+  if (words.empty() || !output) {
+    return UsageError(words.empty() ? "no command" : "--output must be table, json or csv");
+  }
+  const ctl::CommonOptions common{.daemons = ListOf(parsed, "daemon"), .output = *output};
+  if (const auto bad = BadAddress(common.daemons); !bad.empty()) {
+    return UsageError("--daemon " + bad + " isn't an address; allowed is IP:PORT");
+  }
+  const auto rest = std::span(words).subspan(1);
+  if (words[0] != "rules" && words[0] != "status" && words[0] != "explain" && words[0] != "load") {
+    return UsageError("there is no command '" + words[0] + "'");
+  }
+  if (NeedsDaemon(words) && common.daemons.empty()) {
+    return UsageError(words[0] + " needs --daemon");
+  }
+  if (words[0] == "rules") {
+    return RunRules(common, rest, parsed["wait"].as<bool>());
+  }
+  if (words[0] == "status" && rest.empty()) {
+    return ctl::ShowStatus(common);
+  }
+  if (words[0] == "explain" && rest.size() == 1) {
+    return ctl::Explain(common, rest[0]);
+  }
+  if (words[0] == "load" && rest.empty()) {
+    return RunLoad(common, parsed);
+  }
+  return UsageError("wrong number of words after '" + words[0] + "'");
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("lagoonctl", "Operators' tool of the lagoonwind router fleet.");
-  options.positional_help("COMMAND").add_options()(
-      "daemon", "operators' port of a daemon, IP:PORT; repeatable", cxxopts::value<Words>())(
-      "output", "table or json", cxxopts::value<std::string>()->default_value("table"))(
-      "wait", "wait until the rules are in force", cxxopts::value<bool>())(
-      "entry", "callers' port of an entry, IP:PORT; repeatable", cxxopts::value<Words>())(
-      "mix", "TOML file with the streams of requests", cxxopts::value<std::string>())(
-      "seconds", "how long requests are sent", cxxopts::value<double>()->default_value("5"))(
-      "seed", "seed of arrivals", cxxopts::value<std::uint64_t>()->default_value("1"))(
-      "help", "print this help")("command", "command", cxxopts::value<Words>());
-  options.parse_positional({"command"});
+  cxxopts::Options options = MakeOptions();
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
-      std::cout << options.help() << kUsage;
-      return kExitDone;
+      std::cout << options.help() << "\n" << kUsage;
+      return ctl::kExitDone;
     }
-    return Run(options, parsed);
+    return Run(parsed);
   } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << "\n";
-    return Usage(options);
+    return UsageError(error.what());
   }
 }
--- a/apps/lagoonctl/status_commands.cc
+++ b/apps/lagoonctl/status_commands.cc
@@ -1,6 +1,9 @@
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
+#include <algorithm>
 #include <iostream>
+#include <map>
 #include <nlohmann/json.hpp>
 
 #include "commands.h"
@@ -10,53 +13,205 @@
 
 using nlohmann::json;
 
-int Unreachable(const absl::Status& status) {
-  std::cerr << "no daemon can be reached: " << status.message() << "\n";
-  return kExitUnreachable;
+constexpr unsigned kOk = 200;
+
+/// What the daemons answered.
+struct Answers {
+  json objects = json::array();
+  /// Address and reason of each daemon that didn't answer.
+  std::vector<std::string> failures;
+};
+
+/// Asks every daemon.
+Answers AskAll(const CommonOptions& common, const std::string& target) {
+  Answers answers;
+  for (const auto& daemon : common.daemons) {
+    const auto answer = DaemonClient({daemon}).Send(http::Request{.target = target});
+    if (!answer.ok()) {
+      answers.failures.push_back(absl::StrCat(daemon, ": ", answer.status().message()));
+      continue;
+    }
+    json object = json::parse(answer->body, nullptr, false);
+    if (answer->status != kOk || !object.is_object()) {
+      answers.failures.push_back(absl::StrCat(daemon, ": ", answer->body));
+      continue;
+    }
+    object["daemon"] = daemon;
+    answers.objects.push_back(std::move(object));
+  }
+  for (const auto& failure : answers.failures) {
+    std::cerr << "no answer from " << failure << "\n";
+  }
+  return answers;
+}
+
+std::string PercentEncode(std::string_view text) {
+  std::string out;
+  for (const char letter : text) {
+    const auto byte = static_cast<unsigned char>(letter);
+    const bool plain = std::isalnum(byte) != 0 || letter == '-' || letter == '.' || letter == '_';
+    out += plain ? std::string(1, letter) : absl::StrFormat("%%%02X", byte);
+  }
+  return out;
+}
+
+/// One customer over all daemons asked.
+struct CustomerRow {
+  double share = 1;
+  int waiting = 0;
+  int running = 0;
+  double service = 0;
+};
+
+std::map<std::string, CustomerRow> MergeCustomers(const json& daemons) {
+  std::map<std::string, CustomerRow> rows;
+  for (const auto& daemon : daemons) {
+    const bool entry = daemon.value("role", "") == "entry";
+    for (const auto& customer : daemon.value("customers", json::array())) {
+      CustomerRow& row = rows[customer.value("customer", "?")];
+      row.share = customer.value("share", 1.0);
+      // A waiting request is at its entry; agents only know of it.
+      row.waiting += entry ? customer.value("waiting", 0) : 0;
+      row.running += entry ? 0 : customer.value("running", 0);
+      row.service += customer.value("service", 0.0);
+    }
+  }
+  return rows;
+}
+
+double GapOf(const std::map<std::string, CustomerRow>& rows) {
+  double least = 0;
+  double most = 0;
+  bool first = true;
+  for (const auto& [name, row] : rows) {
+    if (row.waiting == 0) {
+      continue;
+    }
+    const double value = row.service / row.share;
+    least = first ? value : std::min(least, value);
+    most = first ? value : std::max(most, value);
+    first = false;
+  }
+  return most - least;
+}
+
+void PrintDaemons(const json& daemons) {
+  std::cout << absl::StrFormat("%-16s %-6s %-12s %-16s %7s %8s %8s %7s  %s\n", "DAEMON", "ROLE",
+                               "ZONE", "BACKEND SERVER", "CONFIG", "RUNNING", "WAITING", "WINDOW",
+                               "STATE");
+  for (const auto& daemon : daemons) {
+    std::cout << absl::StrFormat(
+        "%-16s %-6s %-12s %-16s %7d %8d %8d %7d  %s\n", daemon.value("name", "?"),
+        daemon.value("role", "?"), daemon.value("zone", "?"), daemon.value("backend", "-"),
+        daemon.value("configuration_offset", -1), daemon.value("running", 0),
+        daemon.value("waiting", 0), daemon.value("window", 0),
+        daemon.value("draining", false) ? "draining" : "serving");
+  }
+}
+
+void PrintZones(const json& daemons) {
+  for (const auto& zone : daemons.front().value("zones", json::array())) {
+    std::cout << "availability zone " << zone.value("zone", "?") << " is "
+              << (zone.value("out", false) ? "out of service" : "in service") << "\n";
+  }
+}
+
+void PrintMembers(const json& daemons) {
+  for (const auto& daemon : daemons) {
+    for (const auto& member : daemon.value("members", json::array())) {
+      if (!member.value("linked", true) && !member.value("leaving", false) &&
+          member.value("role", "") != daemon.value("role", "")) {
+        std::cout << daemon.value("name", "?") << " has no link to " << member.value("name", "?")
+                  << "\n";
+      }
+    }
+  }
 }
 
-void PrintStatus(const json& status) {
-  std::cout << absl::StrFormat(
-      "%s (%s, zone %s)  configuration %d  running %d  waiting %d\n",
-      status.at("name").get<std::string>(), status.at("role").get<std::string>(),
-      status.at("zone").get<std::string>(), status.at("configuration_offset").get<std::int64_t>(),
-      status.at("running").get<int>(), status.at("waiting").get<int>());
-  std::cout << absl::StrFormat("%-24s %8s %8s %12s\n", "CUSTOMER", "WAITING", "RUNNING", "SERVICE");
-  for (const auto& row : status.at("customers")) {
-    std::cout << absl::StrFormat("%-24s %8d %8d %12.1f\n", row.at("customer").get<std::string>(),
-                                 row.at("waiting").get<int>(), row.at("running").get<int>(),
-                                 row.at("service").get<double>());
+void PrintCustomers(const json& daemons) {
+  const auto rows = MergeCustomers(daemons);
+  std::cout << absl::StrFormat("%-24s %6s %8s %8s %12s %14s\n", "CUSTOMER", "SHARE", "WAITING",
+                               "RUNNING", "SERVICE", "PER SHARE");
+  for (const auto& [name, row] : rows) {
+    std::cout << absl::StrFormat("%-24s %6.0f %8d %8d %12.1f %14.1f\n", name, row.share,
+                                 row.waiting, row.running, row.service, row.service / row.share);
   }
+  std::cout << absl::StrFormat("gap between waiting customers: %.1f units of service per share\n",
+                               GapOf(rows));
+}
+
+/// Decisions of all daemons in the order of time.
+std::vector<json> MergeDecisions(const json& answers) {
+  std::vector<json> decisions;
+  for (const auto& answer : answers) {
+    for (json decision : answer.value("decisions", json::array())) {
+      decision["at_daemon"] = answer.value("name", "?");
+      decisions.push_back(std::move(decision));
+    }
+  }
+  std::ranges::stable_sort(decisions, {}, [](const json& decision) {
+    return decision.value("at_unix_us", std::int64_t{0});
+  });
+  return decisions;
 }
 
 }  // namespace
 
 int ShowStatus(const CommonOptions& common) {
-  const auto answer = DaemonClient(common.daemons).Send(http::Request{.target = "/status"});
-  if (!answer.ok()) {
-    return Unreachable(answer.status());
+  const Answers answers = AskAll(common, "/status");
+  if (answers.objects.empty()) {
+    std::cerr << "no daemon can be reached\n";
+    return kExitUnreachable;
   }
-  if (common.json) {
-    std::cout << answer->body;
-  } else {
-    PrintStatus(json::parse(answer->body));
+  if (common.output == Output::kJson) {
+    json merged = answers.objects.front();
+    merged["daemons"] = answers.objects;
+    std::cout << merged.dump(2) << "\n";
+    return kExitDone;
   }
+  PrintDaemons(answers.objects);
+  PrintZones(answers.objects);
+  PrintMembers(answers.objects);
+  PrintCustomers(answers.objects);
   return kExitDone;
 }
 
 int Explain(const CommonOptions& common, const std::string& subject) {
-  const auto answer =
-      DaemonClient(common.daemons).Send(http::Request{.target = "/explain?" + subject});
-  if (!answer.ok()) {
-    return Unreachable(answer.status());
+  const auto equals = subject.find('=');
+  const std::string kind = subject.substr(0, equals);
+  if (equals == std::string::npos || equals + 1 == subject.size() ||
+      (kind != "request" && kind != "customer" && kind != "backend")) {
+    std::cerr << "explain needs request=ID, customer=NAME or backend=NAME\n";
+    return kExitUsage;
   }
-  if (common.json) {
-    std::cout << answer->body;
+  const std::string value = subject.substr(equals + 1);
+  const Answers answers =
+      AskAll(common, absl::StrCat("/explain?", kind, "=", PercentEncode(value)));
+  if (answers.objects.empty()) {
+    std::cerr << "no daemon can be reached\n";
+    return kExitUnreachable;
+  }
+  const auto decisions = MergeDecisions(answers.objects);
+  if (common.output == Output::kJson) {
+    json merged = answers.objects.front();
+    merged["decisions"] = decisions;
+    merged["daemons"] = answers.objects;
+    std::cout << merged.dump(2) << "\n";
     return kExitDone;
   }
-  for (const auto& line : json::parse(answer->body).at("decisions")) {
-    std::cout << absl::StrFormat("%16d us  %s\n", line.at("at_us").get<std::int64_t>(),
-                                 line.at("what").get<std::string>());
+  for (const auto& decision : decisions) {
+    std::cout << absl::StrFormat("%s  %-12s %s\n", decision.value("at", ""),
+                                 decision.value("at_daemon", ""), decision.value("what", ""));
+  }
+  for (const auto& answer : answers.objects) {
+    for (const auto& line : answer.value("summary", json::array())) {
+      std::cout << answer.value("name", "?") << ": " << line.get<std::string>() << "\n";
+    }
+  }
+  if (decisions.empty()) {
+    std::cerr << "none of the daemons asked remembers a decision about " << subject
+              << "; ask more of them with --daemon, a daemon remembers its last decisions only\n";
+    return kExitRefused;
   }
   return kExitDone;
 }
--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -21,6 +21,8 @@
 inline constexpr std::uint32_t kMaxHeaderBytes = 16U << 10U;
 /// Largest number of callers' connections that one entry holds.
 inline constexpr std::size_t kMaxCallerConnections = 8192;
+/// Largest number of connections that an operators' port holds.
+inline constexpr std::size_t kMaxServedConnections = 1024;
 /// Time that a caller has to send one whole request.
 inline constexpr seconds kCallerReadTimeout{30};
 /// Time without progress after which a write to a caller is given up.
@@ -69,4 +71,9 @@
 /// Interval between observations of a backend server by its agent.
 inline constexpr milliseconds kBackendPollInterval{500};
 
+// Metrics.
+
+/// Number of customers that have series of their own; the rest share the series `other`.
+inline constexpr std::size_t kMaxCustomerSeries = 200;
+
 }  // namespace lagoonwind::limits
--- a/packages/http/include/lagoonwind/http.h
+++ b/packages/http/include/lagoonwind/http.h
@@ -72,10 +72,21 @@
 asio::awaitable<absl::StatusOr<Response>> Fetch(std::string address, Request request,
                                                 std::chrono::milliseconds timeout);
 
+/// Takes in the next part of an answer's body as it arrives.
+using PartSink = std::function<void(std::string_view)>;
+
+/// Like Fetch, and hands each part of the body to `sink` at once.
+/// \param sink  Called on the calling coroutine's executor before the answer is returned; may be
+///             empty.
+asio::awaitable<absl::StatusOr<Response>> FetchStream(std::string address, Request request,
+                                                      std::chrono::milliseconds timeout,
+                                                      PartSink sink);
+
 /// Answers requests. Called on the server's executor, from several threads at a time.
 using Handler = std::function<asio::awaitable<Response>(Request)>;
 
 /// Serves whole requests on `acceptor` until it is closed. Meant for operators and stand-ins.
+/// Connections beyond limits::kMaxServedConnections are closed at once.
 /// \param max_body_bytes  Larger bodies are answered with 413.
 asio::awaitable<void> Serve(Tcp::acceptor& acceptor, Handler handler, std::size_t max_body_bytes);
 
--- a/packages/http/src/http.cc
+++ b/packages/http/src/http.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -114,8 +115,28 @@
   co_return false;
 }
 
+/// One open connection of a server; gives its place back at the end of its scope.
+class ConnectionSlot {
+ public:
+  explicit ConnectionSlot(std::shared_ptr<std::atomic<std::size_t>> open) : open_(std::move(open)) {
+    ++*open_;
+  }
+  ConnectionSlot(ConnectionSlot&& other) noexcept = default;
+  ConnectionSlot& operator=(ConnectionSlot&&) = delete;
+  ConnectionSlot(const ConnectionSlot&) = delete;
+  ConnectionSlot& operator=(const ConnectionSlot&) = delete;
+  ~ConnectionSlot() {
+    if (open_ != nullptr) {
+      --*open_;
+    }
+  }
+
+ private:
+  std::shared_ptr<std::atomic<std::size_t>> open_;
+};
+
 asio::awaitable<void> ServeConnection(beast::tcp_stream stream, Handler handler,
-                                      std::size_t max_body_bytes) {
+                                      std::size_t max_body_bytes, ConnectionSlot /*slot*/) {
   beast::flat_buffer buffer;
   bool keep_alive = true;
   while (keep_alive) {
@@ -233,6 +254,12 @@
 
 asio::awaitable<absl::StatusOr<Response>> Fetch(std::string address, Request request,
                                                 std::chrono::milliseconds timeout) {
+  return FetchStream(std::move(address), std::move(request), timeout, PartSink{});
+}
+
+asio::awaitable<absl::StatusOr<Response>> FetchStream(std::string address, Request request,
+                                                      std::chrono::milliseconds timeout,
+                                                      PartSink sink) {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint.ok()) {
     co_return endpoint.status();
@@ -252,9 +279,17 @@
   beast::flat_buffer buffer;
   beast::http::response_parser<beast::http::string_body> parser;
   parser.body_limit(limits::kMaxFrameBytes);
-  co_await beast::http::async_read(stream, buffer, parser, Redirect(error));
-  if (error) {
-    co_return StatusOf(error, true);
+  std::size_t seen = 0;
+  while (!parser.is_done()) {
+    co_await beast::http::async_read_some(stream, buffer, parser, Redirect(error));
+    if (error) {
+      co_return StatusOf(error, true);
+    }
+    const std::string_view body = parser.get().body();
+    if (sink != nullptr && body.size() > seen) {
+      sink(body.substr(seen));
+      seen = body.size();
+    }
   }
   auto in = parser.release();
   Response response{.status = in.result_int(),
@@ -266,17 +301,19 @@
 
 asio::awaitable<void> Serve(Tcp::acceptor& acceptor, Handler handler, std::size_t max_body_bytes) {
   auto executor = co_await asio::this_coro::executor;
+  const auto open = std::make_shared<std::atomic<std::size_t>>(0);
   while (acceptor.is_open()) {
     ErrorCode error;
     Tcp::socket socket = co_await acceptor.async_accept(Redirect(error));
     if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
       co_return;
     }
-    if (error) {
+    if (error || *open >= limits::kMaxServedConnections) {
       continue;
     }
     asio::co_spawn(executor,
-                   ServeConnection(beast::tcp_stream(std::move(socket)), handler, max_body_bytes),
+                   ServeConnection(beast::tcp_stream(std::move(socket)), handler, max_body_bytes,
+                                   ConnectionSlot(open)),
                    asio::detached);
   }
 }
--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -331,6 +331,19 @@
 /// A decision in plain words, without names. Thread safe.
 std::string Describe(const Decision& decision);
 
+/// Names of what a decision is about; empty ones are left out of the sentence.
+struct DecisionNames {
+  std::string request;
+  std::string customer;
+  std::string member;
+};
+
+/// A decision as a sentence for operators. Thread safe.
+/// \param role  Of the process that decided; the member is of the other role.
+std::string Explain(const Decision& decision, Role role, const DecisionNames& names);
+/// A reason as half a sentence for operators. Thread safe.
+std::string_view Explain(Reason reason);
+
 struct CustomerStats {
   CustomerId customer;
   std::uint32_t waiting = 0;
@@ -381,7 +394,8 @@
 
   [[nodiscard]] virtual Stats stats() const = 0;
 
-  /// Decisions about a request, customer or member, oldest first. Invalid handles match nothing.
+  /// Decisions about a request, customer or member, oldest first. Invalid handles match nothing;
+  /// the process itself as member matches all.
   [[nodiscard]] virtual std::vector<Decision> Explain(RequestId request, CustomerId customer,
                                                       MemberId member) const = 0;
 };
--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -15,6 +15,7 @@
 class DecisionRing {
  public:
   void Add(Decision decision);
+  [[nodiscard]] std::vector<Decision> All() const { return {decisions_.begin(), decisions_.end()}; }
   [[nodiscard]] std::vector<Decision> About(RequestId request, CustomerId customer,
                                             MemberId member) const;
 
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -70,7 +70,8 @@
 
   [[nodiscard]] std::vector<Decision> Explain(RequestId request, CustomerId customer,
                                               MemberId member) const override {
-    return board_.decisions.About(request, customer, member);
+    return member == board_.self ? board_.decisions.All()
+                                 : board_.decisions.About(request, customer, member);
   }
 
  private:
--- a/packages/rules/include/lagoonwind/rules.h
+++ b/packages/rules/include/lagoonwind/rules.h
@@ -54,9 +54,13 @@
   std::map<CustomerId, CustomerRule> customers;
   std::map<ZoneId, ZoneRule> zones;
   std::map<TargetId, TargetRule> targets;
+  /// Customers by the digest of their token. A lookup by a presented token's digest needs no
+  /// constant time: whoever presents a token can't choose the bytes of its SHA-256, so how far two
+  /// digests agree tells nothing about the token.
+  std::map<std::string, CustomerId, std::less<>> customers_by_token;
 
   /// The customer whose token has this digest, or nullptr. Thread safe.
-  /// Compares in constant time per customer.
+  /// The digest found is compared in constant time.
   /// \param token_sha256  Lower-case hexadecimal SHA-256 of the presented token.
   [[nodiscard]] const CustomerRule* CustomerByToken(std::string_view token_sha256) const;
   /// True if operators have taken the availability zone out. Thread safe.
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -150,7 +150,9 @@
       Fail("a customer needs a token; write token sha256:HEX");
       return;
     }
-    Insert(result_.configuration.customers, HandleOf<CustomerId>(name), std::move(rule));
+    const auto id = HandleOf<CustomerId>(name);
+    result_.configuration.customers_by_token.try_emplace(rule.token_sha256, id);
+    Insert(result_.configuration.customers, id, std::move(rule));
   }
 
   void ParseCustomerOption(std::string_view key, std::string_view value, CustomerRule& rule) {
@@ -255,13 +257,14 @@
 }  // namespace
 
 const CustomerRule* Configuration::CustomerByToken(std::string_view digest) const {
-  const CustomerRule* found = nullptr;
-  for (const auto& [id, rule] : customers) {
-    if (ConstantTimeEqual(rule.token_sha256, digest)) {
-      found = &rule;
-    }
+  const auto owner = customers_by_token.find(digest);
+  if (owner == customers_by_token.end()) {
+    return nullptr;
   }
-  return found;
+  const auto rule = customers.find(owner->second);
+  const bool found =
+      rule != customers.end() && ConstantTimeEqual(rule->second.token_sha256, digest);
+  return found ? &rule->second : nullptr;
 }
 
 bool Configuration::ZoneOut(ZoneId zone) const {
--- a/packages/runtime/include/lagoonwind/runtime.h
+++ b/packages/runtime/include/lagoonwind/runtime.h
@@ -32,6 +32,8 @@
   // [callers], entries only
   std::string caller_listen = "127.0.0.1:0";
   // [backend], agents only
+  /// Name of the backend server in `status` and `explain`; the process's own name if not given.
+  std::string backend_name;
   bool backend_is_model = true;
   std::string backend_address;
   std::vector<std::string> backend_tags;
--- a/packages/runtime/src/daemon.cc
+++ b/packages/runtime/src/daemon.cc
@@ -42,12 +42,13 @@
                       .tags = settings.backend_tags};
 }
 
-LinkOptions LinkOptionsOf(const Settings& settings, Incarnation incarnation) {
+LinkOptions LinkOptionsOf(const Settings& settings, Incarnation incarnation, Metrics& metrics) {
   return LinkOptions{.name = settings.name,
                      .role = settings.role,
                      .zone = settings.zone,
                      .incarnation = incarnation,
-                     .key = settings.link_key};
+                     .key = settings.link_key,
+                     .traffic = &metrics.traffic()};
 }
 
 /// One daemon: its threads, ports, platform clients and role.
@@ -62,7 +63,7 @@
         log_(platform::MakeHttpLogService(settings.platform_address)),
         hosts_(platform::MakeHttpHostList(settings.platform_address)),
         policy_(io_, policy::MakePolicy(InitOf(settings, incarnation_))),
-        links_(io_, LinkOptionsOf(settings, incarnation_), policy_),
+        links_(io_, LinkOptionsOf(settings, incarnation_, metrics_), policy_),
         configuration_(*log_, policy_),
         context_{.settings = settings_,
                  .incarnation = incarnation_,
@@ -94,7 +95,7 @@
  private:
   absl::Status Start() {
     links_.Start(*role_);
-    policy_.Start([this](const policy::Action& action) { Execute(action); });
+    policy_.Start([this](const policy::Action& action) { Execute(action); }, metrics_);
     absl::Status status = Open(link_acceptor_, settings_.link_listen);
     if (status.ok()) {
       status = Open(operator_acceptor_, settings_.operator_listen);
--- a/packages/runtime/src/link.cc
+++ b/packages/runtime/src/link.cc
@@ -96,8 +96,10 @@
 }
 
 void Link::Send(const wire::Message& message) {
+  std::string encoded = wire::EncodeFrame(message);
+  handler_.traffic().sent[KindOf(message)].Add(encoded.size());
   asio::post(socket_.get_executor(),
-             [self = shared_from_this(), frame = wire::EncodeFrame(message)]() mutable {
+             [self = shared_from_this(), frame = std::move(encoded)]() mutable {
                self->outbox_.push_back(std::move(frame));
                if (!std::exchange(self->writing_, true)) {
                  asio::co_spawn(self->socket_.get_executor(), self->Write(),
@@ -130,11 +132,16 @@
   if (error) {
     co_return absl::UnavailableError(error.message());
   }
-  co_return wire::DecodeBody(body);
+  auto message = wire::DecodeBody(body);
+  if (message.ok()) {
+    handler_.traffic().received[KindOf(*message)].Add(wire::kFrameHeaderBytes + body.size());
+  }
+  co_return message;
 }
 
 asio::awaitable<absl::Status> Link::WriteMessage(wire::Message message) {
   const std::string frame = wire::EncodeFrame(message);
+  handler_.traffic().sent[KindOf(message)].Add(frame.size());
   ErrorCode error;
   co_await asio::async_write(socket_, asio::buffer(frame), Redirect(error));
   co_return error ? absl::UnavailableError(error.message()) : absl::OkStatus();
--- a/packages/runtime/src/link.h
+++ b/packages/runtime/src/link.h
@@ -7,6 +7,7 @@
 
 #include "lagoonwind/http.h"
 #include "lagoonwind/wire.h"
+#include "link_traffic.h"
 
 namespace lagoonwind::runtime {
 
@@ -17,6 +18,8 @@
  public:
   virtual ~LinkHandler() = default;
   virtual void OnLinkMessage(Link& link, wire::Message message) = 0;
+  /// Counts of all links; outlives them.
+  virtual LinkTraffic& traffic() = 0;
 };
 
 /// One connection to another daemon. Hold it as a shared_ptr; all coroutines run on its strand.
--- a/packages/runtime/src/link_manager.h
+++ b/packages/runtime/src/link_manager.h
@@ -25,6 +25,8 @@
   std::string zone;
   Incarnation incarnation;
   std::string key;
+  /// Counts what the links carry; outlives them.
+  LinkTraffic* traffic = nullptr;
 };
 
 /// Opens, accepts and keeps the links of a process; at most one to each member, the newest wins.
@@ -48,6 +50,7 @@
   void Broadcast(policy::Role role, const wire::Message& message);
 
   void OnLinkMessage(Link& link, wire::Message message) override;
+  LinkTraffic& traffic() override { return *options_.traffic; }
 
  private:
   struct Established {
--- /dev/null
+++ b/packages/runtime/src/link_traffic.cc
@@ -0,0 +1,36 @@
+#include "link_traffic.h"
+
+#include <algorithm>
+
+namespace lagoonwind::runtime {
+namespace {
+
+using IsKind = bool (*)(const wire::Message&);
+
+/// In the order of kMessageKinds, without `other`.
+constexpr std::array<IsKind, kMessageKinds.size() - 1> kTests{
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.ping); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.leaving); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.offer); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.queued); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.started); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.head); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.chunk); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.ended); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.cancel); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.demand); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.grant); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.decline); },
+    [](const wire::Message& message) { return static_cast<bool>(message.__isset.agent_report); },
+    [](const wire::Message& message) {
+      return static_cast<bool>(message.__isset.hello) || static_cast<bool>(message.__isset.proof);
+    }};
+
+}  // namespace
+
+std::size_t KindOf(const wire::Message& message) {
+  const auto found = std::ranges::find_if(kTests, [&](IsKind test) { return test(message); });
+  return static_cast<std::size_t>(found - kTests.begin());
+}
+
+}  // namespace lagoonwind::runtime
--- a/packages/runtime/src/metrics.cc
+++ b/packages/runtime/src/metrics.cc
@@ -2,11 +2,19 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+
+#include "lagoonwind/limits.h"
+
 namespace lagoonwind::runtime {
 namespace {
 
 const prometheus::Histogram::BucketBoundaries kSecondsBuckets{
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.45, 1, 2.5, 5, 10, 30, 60, 120};
+const prometheus::Histogram::BucketBoundaries kStepBuckets{0.00001, 0.0001, 0.0005, 0.001,
+                                                           0.005,   0.02,   0.1,    0.5};
+/// Shared by the customers that have no series of their own.
+constexpr std::string_view kOtherCustomers = "other";
 
 prometheus::Gauge& AddGauge(prometheus::Registry& registry, const std::string& name,
                             const std::string& help) {
@@ -33,32 +41,96 @@
                    .Name("lagoonwind_service_units_total")
                    .Help("Service charged, by customer")
                    .Register(*registry_)),
+      link_bytes_(prometheus::BuildGauge()
+                      .Name("lagoonwind_link_bytes_total")
+                      .Help("Bytes of frames on links, by kind of message and direction")
+                      .Register(*registry_)),
+      link_frames_(prometheus::BuildGauge()
+                       .Name("lagoonwind_link_frames_total")
+                       .Help("Frames on links, by kind of message and direction")
+                       .Register(*registry_)),
+      step_(prometheus::BuildHistogram()
+                .Name("lagoonwind_step_seconds")
+                .Help("Time that one step of the decisions takes")
+                .Register(*registry_)
+                .Add({}, kStepBuckets)),
       window_(AddGauge(*registry_, "lagoonwind_window_requests",
                        "Requests that the backend server may run at a time")),
       running_(AddGauge(*registry_, "lagoonwind_running_requests", "Requests that run")),
       waiting_(AddGauge(*registry_, "lagoonwind_waiting_requests", "Requests that wait")),
+      draining_(AddGauge(*registry_, "lagoonwind_draining", "1 while the process drains")),
+      links_(AddGauge(*registry_, "lagoonwind_links", "Open links to other daemons")),
+      grants_sent_(AddGauge(*registry_, "lagoonwind_grants_sent_total", "Grants sent to entries")),
+      grants_expired_(AddGauge(*registry_, "lagoonwind_grants_expired_total",
+                               "Grants that no entry used in time")),
       configuration_offset_(AddGauge(*registry_, "lagoonwind_configuration_offset",
                                      "Offset of the configuration in force")) {}
 
+Metrics::CustomerSeries Metrics::MakeSeries(const std::string& customer) {
+  CustomerSeries series;
+  for (std::size_t i = 0; i < kOutcomes; ++i) {
+    const std::string outcome(policy::Name(static_cast<policy::Outcome>(i)));
+    series.requests[i] = &requests_.Add({{"customer", customer}, {"outcome", outcome}});
+  }
+  series.duration = &duration_.Add({{"customer", customer}}, kSecondsBuckets);
+  series.first_answer = &first_answer_.Add({{"customer", customer}}, kSecondsBuckets);
+  series.service = &service_.Add({{"customer", customer}});
+  return series;
+}
+
+Metrics::CustomerSeries Metrics::SeriesOf(std::string_view customer) {
+  const std::scoped_lock lock(mutex_);
+  if (const auto found = series_.find(absl::string_view(customer.data(), customer.size()));
+      found != series_.end()) {
+    return found->second;
+  }
+  const bool full = series_.size() >= limits::kMaxCustomerSeries;
+  const std::string name(full ? kOtherCustomers : customer);
+  const auto [slot, added] = series_.try_emplace(name);
+  if (added) {
+    slot->second = MakeSeries(name);
+  }
+  return slot->second;
+}
+
 void Metrics::RequestFinished(std::string_view customer, policy::Outcome outcome, double seconds) {
-  const std::string name(customer);
-  requests_.Add({{"customer", name}, {"outcome", std::string(policy::Name(outcome))}}).Increment();
-  duration_.Add({{"customer", name}}, kSecondsBuckets).Observe(seconds);
+  const CustomerSeries series = SeriesOf(customer);
+  series.requests[static_cast<std::size_t>(outcome)]->Increment();
+  series.duration->Observe(seconds);
 }
 
 void Metrics::AnswerBegan(std::string_view customer, double seconds) {
-  first_answer_.Add({{"customer", std::string(customer)}}, kSecondsBuckets).Observe(seconds);
+  SeriesOf(customer).first_answer->Observe(seconds);
 }
 
 void Metrics::ServiceCharged(std::string_view customer, double service) {
-  service_.Add({{"customer", std::string(customer)}}).Increment(service);
+  SeriesOf(customer).service->Increment(service);
 }
 
 void Metrics::Update(const policy::Stats& stats) {
   window_.Set(stats.window);
   running_.Set(stats.running);
   waiting_.Set(stats.waiting);
+  draining_.Set(stats.draining ? 1 : 0);
+  links_.Set(
+      static_cast<double>(std::ranges::count(stats.members, true, &policy::MemberStats::linked)));
+  grants_sent_.Set(static_cast<double>(stats.grants_sent));
+  grants_expired_.Set(static_cast<double>(stats.grants_expired));
   configuration_offset_.Set(static_cast<double>(stats.configuration_offset));
+  CopyTraffic();
+}
+
+void Metrics::CopyTraffic() const {
+  const auto copy = [&](std::string_view direction, const auto& counts) {
+    for (std::size_t i = 0; i < kMessageKinds.size(); ++i) {
+      const prometheus::Labels labels{{"kind", std::string(kMessageKinds[i])},
+                                      {"direction", std::string(direction)}};
+      link_bytes_.Add(labels).Set(static_cast<double>(counts[i].bytes.load()));
+      link_frames_.Add(labels).Set(static_cast<double>(counts[i].frames.load()));
+    }
+  };
+  copy("sent", traffic_.sent);
+  copy("received", traffic_.received);
 }
 
 std::string Metrics::Page() const {
--- a/packages/runtime/src/operator_port.cc
+++ b/packages/runtime/src/operator_port.cc
@@ -1,7 +1,10 @@
 #include "operator_port.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_format.h>
 
+#include <algorithm>
+#include <ctime>
 #include <nlohmann/json.hpp>
 
 #include "digest.h"
@@ -27,9 +30,110 @@
   return http::Response{.status = status, .content_type = "text/plain", .body = std::move(body)};
 }
 
-std::string CustomerName(const Configuration& configuration, CustomerId customer) {
-  const auto found = configuration.customers.find(customer);
-  return found == configuration.customers.end() ? "unknown" : found->second.name;
+/// Names of customers and members as this process knows them.
+class NameTable {
+ public:
+  NameTable(const Configuration& configuration, const policy::Stats& stats)
+      : configuration_(configuration), stats_(stats) {}
+
+  [[nodiscard]] std::string Of(CustomerId customer) const {
+    const auto found = configuration_.customers.find(customer);
+    return found == configuration_.customers.end() ? "" : found->second.name;
+  }
+  [[nodiscard]] std::string Of(MemberId member) const {
+    const auto found = std::ranges::find_if(
+        stats_.members, [&](const auto& row) { return row.member.id == member; });
+    return found == stats_.members.end() ? "" : found->member.name;
+  }
+
+ private:
+  const Configuration& configuration_;
+  const policy::Stats& stats_;
+};
+
+/// Difference between the most and the least served per share of the customers that wait.
+double GapOf(const policy::Stats& stats, const Configuration& configuration) {
+  std::vector<double> served;
+  for (const auto& row : stats.customers) {
+    if (row.waiting > 0) {
+      served.push_back(row.service / configuration.Share(row.customer));
+    }
+  }
+  if (served.empty()) {
+    return 0;
+  }
+  const auto [least, most] = std::ranges::minmax(served);
+  return most - least;
+}
+
+/// Wall-clock time of a decision, as far as the clock of this process is right.
+std::chrono::system_clock::time_point WallTime(Time at) {
+  const auto ago = std::chrono::steady_clock::now() - at;
+  return std::chrono::system_clock::now() -
+         std::chrono::duration_cast<std::chrono::system_clock::duration>(ago);
+}
+
+std::string FormatUtc(std::chrono::system_clock::time_point at) {
+  constexpr int kMillisecondsInSecond = 1000;
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(at);
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  return absl::StrFormat("%04d-%02d-%02dT%02d:%02d:%02d.%03dZ", parts.tm_year + 1900,
+                         parts.tm_mon + 1, parts.tm_mday, parts.tm_hour, parts.tm_min, parts.tm_sec,
+                         milliseconds % kMillisecondsInSecond);
+}
+
+json ToJson(const policy::Decision& decision, policy::Role role, const NameTable& names) {
+  const auto at = WallTime(decision.at);
+  const policy::DecisionNames words{
+      .request = decision.request.entry.valid() ? FormatRequestId(decision.request) : "",
+      .customer = names.Of(decision.customer),
+      .member = names.Of(decision.member)};
+  json line{{"at", FormatUtc(at)},
+            {"at_unix_us",
+             std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count()},
+            {"what", policy::Explain(decision, role, words)},
+            {"decision", policy::Describe(decision)}};
+  const auto add = [&](const char* key, const std::string& value) {
+    if (!value.empty()) {
+      line[key] = value;
+    }
+  };
+  add("request", words.request);
+  add("customer", words.customer);
+  add("member", words.member);
+  if (decision.reason != policy::Reason::kNone) {
+    line["reason"] = policy::Name(decision.reason);
+  }
+  return line;
+}
+
+/// Why a customer gets what it gets, as far as this process sees.
+json Summary(CustomerId customer, const policy::Stats& stats, const Configuration& configuration,
+             const NameTable& names) {
+  json lines = json::array();
+  const auto row = std::ranges::find(stats.customers, customer, &policy::CustomerStats::customer);
+  if (!configuration.customers.contains(customer) || row == stats.customers.end()) {
+    return lines;
+  }
+  const double served = row->service / configuration.Share(customer);
+  lines.push_back(absl::StrFormat(
+      "%s has share %d, %d requests wait and %d run; served %.1f units, %.1f per share",
+      names.Of(customer), configuration.Share(customer), row->waiting, row->running, row->service,
+      served));
+  const auto ahead = std::ranges::count_if(stats.customers, [&](const auto& other) {
+    return other.waiting > 0 && other.customer != customer &&
+           other.service / configuration.Share(other.customer) < served;
+  });
+  if (row->waiting > 0) {
+    lines.push_back(
+        absl::StrFormat("%d waiting customers had less service per share here and go first; gap "
+                        "%.1f units per share",
+                        ahead, GapOf(stats, configuration)));
+  }
+  return lines;
 }
 
 }  // namespace
@@ -66,9 +170,11 @@
 http::Response OperatorPort::Status() const {
   const policy::Stats stats = context_.policy.stats();
   const auto configuration = context_.configuration.current();
+  const NameTable names(*configuration, stats);
   json customers = json::array();
   for (const auto& row : stats.customers) {
-    customers.push_back({{"customer", CustomerName(*configuration, row.customer)},
+    customers.push_back({{"customer", names.Of(row.customer)},
+                         {"share", configuration->Share(row.customer)},
                          {"waiting", row.waiting},
                          {"running", row.running},
                          {"service", row.service}});
@@ -87,6 +193,8 @@
   return Json(kOk, {{"name", context_.settings.name},
                     {"role", policy::Name(context_.settings.role)},
                     {"zone", context_.settings.zone},
+                    {"backend", context_.settings.backend_name},
+                    {"gap", GapOf(stats, *configuration)},
                     {"configuration_offset", stats.configuration_offset},
                     {"draining", stats.draining},
                     {"window", stats.window},
@@ -97,24 +205,29 @@
                     {"zones", std::move(zones)}});
 }
 
+MemberId OperatorPort::MemberOf(std::string_view backend) const {
+  const bool own = !backend.empty() && backend == context_.settings.backend_name;
+  return HandleOf<MemberId>(own ? context_.settings.name : backend);
+}
+
 http::Response OperatorPort::Explain(std::string_view target) const {
   const auto request = ParseRequestId(http::QueryParameter(target, "request"));
   const auto customer = HandleOf<CustomerId>(http::QueryParameter(target, "customer"));
-  const auto backend = HandleOf<MemberId>(http::QueryParameter(target, "backend"));
+  const auto member = MemberOf(http::QueryParameter(target, "backend"));
+  if (!request.entry.valid() && !customer.valid() && !member.valid()) {
+    return Plain(kBadRequest, "allowed are request=ID, customer=NAME and backend=NAME\n");
+  }
   const auto configuration = context_.configuration.current();
+  const policy::Stats stats = context_.policy.stats();
+  const NameTable names(*configuration, stats);
   json lines = json::array();
-  for (const auto& decision : context_.policy.Explain(request, customer, backend)) {
-    json line{{"at_us", decision.at.time_since_epoch().count()},
-              {"what", policy::Describe(decision)}};
-    if (decision.request.entry.valid()) {
-      line["request"] = FormatRequestId(decision.request);
-    }
-    if (decision.customer.valid()) {
-      line["customer"] = CustomerName(*configuration, decision.customer);
-    }
-    lines.push_back(std::move(line));
+  for (const auto& decision : context_.policy.Explain(request, customer, member)) {
+    lines.push_back(ToJson(decision, context_.settings.role, names));
   }
-  return Json(kOk, {{"decisions", std::move(lines)}});
+  return Json(kOk, {{"name", context_.settings.name},
+                    {"role", policy::Name(context_.settings.role)},
+                    {"decisions", std::move(lines)},
+                    {"summary", Summary(customer, stats, *configuration, names)}});
 }
 
 asio::awaitable<http::Response> OperatorPort::Propose(std::string body) {
--- a/packages/runtime/src/operator_port.h
+++ b/packages/runtime/src/operator_port.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "daemon.h"
 
 namespace lagoonwind::runtime {
@@ -12,8 +14,11 @@
   http::asio::awaitable<http::Response> Handle(http::Request request);
 
  private:
-  http::Response Status() const;
-  http::Response Explain(std::string_view target) const;
+  [[nodiscard]] http::Response Status() const;
+  [[nodiscard]] http::Response Explain(std::string_view target) const;
+  /// The member whose decisions `backend=NAME` asks for: this agent by its backend server's name,
+  /// or any member by its own.
+  [[nodiscard]] MemberId MemberOf(std::string_view backend) const;
   http::asio::awaitable<http::Response> Propose(std::string body);
 
   DaemonContext context_;
--- a/packages/runtime/src/policy_host.cc
+++ b/packages/runtime/src/policy_host.cc
@@ -19,8 +19,9 @@
 PolicyHost::PolicyHost(asio::io_context& io, std::unique_ptr<policy::Policy> policy)
     : strand_(asio::make_strand(io)), policy_(std::move(policy)) {}
 
-void PolicyHost::Start(ActionHandler handler) {
+void PolicyHost::Start(ActionHandler handler, Metrics& metrics) {
   handler_ = std::move(handler);
+  metrics_ = &metrics;
   asio::co_spawn(strand_, RunTimer(), asio::detached);
 }
 
@@ -63,10 +64,13 @@
     frame_scheduled_ = false;
   }
   std::vector<policy::Action> actions;
+  const auto begun = std::chrono::steady_clock::now();
   {
     const std::scoped_lock lock(step_mutex_);
     actions = policy_->Step(Now(), events);
   }
+  metrics_->StepTaken(
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count());
   for (const auto& action : actions) {
     handler_(action);
   }
--- a/packages/runtime/src/policy_host.h
+++ b/packages/runtime/src/policy_host.h
@@ -8,6 +8,7 @@
 
 #include "lagoonwind/http.h"
 #include "lagoonwind/policy.h"
+#include "metrics.h"
 
 namespace lagoonwind::runtime {
 
@@ -22,7 +23,8 @@
   PolicyHost(http::asio::io_context& io, std::unique_ptr<policy::Policy> policy);
 
   /// Starts the frame timer. Call once, before any Post.
-  void Start(ActionHandler handler);
+  /// \param metrics  Told the time of each step.
+  void Start(ActionHandler handler, Metrics& metrics);
   /// Gathers an event for the next frame. Thread safe.
   void Post(policy::Event event);
   /// Thread safe.
@@ -37,6 +39,7 @@
 
   http::asio::strand<http::asio::io_context::executor_type> strand_;
   ActionHandler handler_;
+  Metrics* metrics_ = nullptr;
 
   mutable std::mutex step_mutex_;
   std::unique_ptr<policy::Policy> policy_;
--- a/packages/runtime/src/settings.cc
+++ b/packages/runtime/src/settings.cc
@@ -1,20 +1,33 @@
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
-#include <toml++/toml.h>
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <fstream>
 #include <functional>
 #include <sstream>
 
 #include "lagoonwind/http.h"
 #include "lagoonwind/runtime.h"
+#include "lagoonwind/toml.h"
 
 namespace lagoonwind::runtime {
 namespace {
 
 constexpr int kMaxThreads = 64;
+constexpr std::size_t kMaxNameBytes = 64;
+constexpr std::size_t kMinKeyBytes = 12;
+constexpr std::size_t kMaxKeyBytes = 256;
+
+bool IsNameLetter(char letter) {
+  return std::isalnum(static_cast<unsigned char>(letter)) != 0 || letter == '-' || letter == '_' ||
+         letter == '.';
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameBytes && std::ranges::all_of(text, IsNameLetter);
+}
 
 /// Reads typed values out of a TOML table and collects every fault.
 class Reader {
@@ -34,6 +47,24 @@
     out = *value;
   }
 
+  void Name(std::string_view section, std::string_view key, bool required, std::string& out) {
+    String(section, key, required, out);
+    const toml::node* node = Find(section, key);
+    if (node != nullptr && node->is_string() && !out.empty() && !IsName(out)) {
+      Fail(*node, section, key, "isn't valid; allowed are 1 to 64 letters, digits, '-', '_', '.'");
+    }
+  }
+
+  /// A shared key; faults never show it.
+  void Key(std::string_view section, std::string_view key, std::string& out) {
+    String(section, key, true, out);
+    const toml::node* node = Find(section, key);
+    if (node != nullptr && !out.empty() &&
+        (out.size() < kMinKeyBytes || out.size() > kMaxKeyBytes)) {
+      Fail(*node, section, key, "isn't valid; allowed are 12 to 256 bytes");
+    }
+  }
+
   void Choice(std::string_view section, std::string_view key, std::string_view yes,
               std::string_view no, bool& out) {
     const toml::node* node = Take(section, key, true);
@@ -82,7 +113,11 @@
       return;
     }
     for (const auto& item : *list) {
-      out.push_back(*item.value<std::string>());
+      const std::string text = *item.value<std::string>();
+      if (!IsName(text) || std::ranges::find(out, text) != out.end()) {
+        Fail(item, section, key, "isn't valid; allowed are names, each once");
+      }
+      out.push_back(text);
     }
   }
 
@@ -115,7 +150,9 @@
     taken_.push_back(absl::StrFormat("%s.%s", section, key));
     const toml::node* node = Find(section, key);
     if (node == nullptr && required) {
-      faults_.push_back(absl::StrFormat("%s:1: %s.%s: missing", file_, section, key));
+      const toml::node* table = root_.get(section);
+      const int line = table == nullptr ? 1 : static_cast<int>(table->source().begin.line);
+      faults_.push_back(absl::StrFormat("%s:%d: %s.%s: missing", file_, line, section, key));
     }
     return node;
   }
@@ -141,17 +178,19 @@
   bool entry = true;
   reader.Choice("process", "role", "entry", "agent", entry);
   settings.role = entry ? policy::Role::kEntry : policy::Role::kAgent;
-  reader.String("process", "name", true, settings.name);
-  reader.String("process", "zone", true, settings.zone);
+  reader.Name("process", "name", true, settings.name);
+  reader.Name("process", "zone", true, settings.zone);
   reader.Integer("process", "threads", 1, kMaxThreads, settings.threads);
   reader.String("process", "address_file", false, settings.address_file);
   reader.Address("operator", "listen", false, settings.operator_listen);
   reader.Address("platform", "address", true, settings.platform_address);
   reader.Address("links", "listen", false, settings.link_listen);
-  reader.String("links", "key", true, settings.link_key);
+  reader.Key("links", "key", settings.link_key);
   if (entry) {
     reader.Address("callers", "listen", false, settings.caller_listen);
   } else {
+    settings.backend_name = settings.name;
+    reader.Name("backend", "name", false, settings.backend_name);
     reader.Choice("backend", "kind", "model", "service", settings.backend_is_model);
     reader.Address("backend", "address", true, settings.backend_address);
     reader.Strings("backend", "tags", settings.backend_tags);
@@ -163,14 +202,11 @@
 }  // namespace
 
 absl::StatusOr<Settings> ParseSettings(std::string_view text, std::string_view file) {
-  toml::table root;
-  try {
-    root = toml::parse(text, file);
-  } catch (const toml::parse_error& error) {
-    return absl::InvalidArgumentError(absl::StrFormat("%s:%d: %s", file, error.source().begin.line,
-                                                      std::string(error.description())));
-  }
-  Reader reader(root, file);
+  const auto root = ParseToml(text, std::string(file));
+  if (!root.ok()) {
+    return root.status();
+  }
+  Reader reader(*root, file);
   Settings settings = ReadAll(reader);
   if (!reader.faults().empty()) {
     return absl::InvalidArgumentError(absl::StrJoin(reader.faults(), "\n"));
--- /dev/null
+++ b/tests/fuzz/parsers_fuzz_test.cc
@@ -0,0 +1,105 @@
+#include <doctest/doctest.h>
+
+#include <array>
+#include <fstream>
+#include <sstream>
+
+#include "lagoonwind/http.h"
+#include "lagoonwind/rules.h"
+#include "lagoonwind/rules_history.h"
+#include "lagoonwind/runtime.h"
+#include "lagoonwind/wire.h"
+#include "load_mix.h"
+#include "mutator.h"
+
+namespace lagoonwind {
+namespace {
+
+using testing::Mutator;
+
+constexpr int kCases = 3000;
+constexpr std::array<std::string_view, 12> kWords{
+    "customer ", "share ",    "4294967296", "-1", "zone ", "\n",
+    "#",         "asked by:", "[[",         "= ", "\"",    std::string_view("\0\xff\xfe", 3)};
+
+std::string ReadSource(const std::string& path) {
+  std::ostringstream text;
+  text << std::ifstream(LAGOONWIND_SOURCE_DIR "/" + path).rdbuf();
+  return text.str();
+}
+
+bool NamesLines(std::string_view faults, std::string_view file) {
+  std::istringstream in{std::string(faults)};
+  std::string line;
+  return std::getline(in, line) && line.starts_with(std::string(file) + ":");
+}
+
+TEST_CASE("malformed rules give faults with lines, and valid ones replay") {
+  const std::string valid = ReadSource("examples/01-local-fleet/rules.txt");
+  Mutator mutator(1, kWords);
+  int refused = 0;
+  for (int i = 0; i < kCases; ++i) {
+    const std::string text = mutator.Mutate(valid);
+    const auto parsed = ParseRules(text);
+    if (!parsed.errors.empty()) {
+      ++refused;
+      CHECK(NamesLines(FormatRuleErrors("rules", parsed.errors), "rules"));
+      RulesHistory history;
+      (void)history.Replay(0, EncodeProposal({.base = -1, .nonce = "n", .text = "zone z in"}));
+      CHECK(history.current()->offset == -1);
+    }
+    (void)DecodeProposal(text);
+  }
+  CHECK(refused > kCases / 4);
+}
+
+TEST_CASE("malformed settings and mixes are refused with a line") {
+  Mutator mutator(2, kWords);
+  const std::string settings = ReadSource("examples/settings/agent.toml");
+  const std::string mix = ReadSource("examples/02-both-users/saltline.toml");
+  for (int i = 0; i < kCases; ++i) {
+    const auto parsed = runtime::ParseSettings(mutator.Mutate(settings), "s.toml");
+    CHECK((parsed.ok() || NamesLines(std::string(parsed.status().message()), "s.toml")));
+    const auto streams = ctl::ParseMix(mutator.Mutate(mix), "m.toml");
+    CHECK((streams.ok() || NamesLines(std::string(streams.status().message()), "m.toml")));
+  }
+}
+
+TEST_CASE("malformed frames are errors or messages, never crashes") {
+  wire::Message message;
+  message.__set_demand({});
+  message.demand.items.resize(5);
+  wire::Message offer;
+  offer.__set_offer({});
+  offer.offer.body = std::string(100, 'b');
+  offer.offer.customer_name = "erie";
+  const std::array<std::string, 2> frames{wire::EncodeFrame(message), wire::EncodeFrame(offer)};
+  Mutator mutator(3, kWords);
+  int refused = 0;
+  for (int i = 0; i < kCases * 4; ++i) {
+    const std::string frame = mutator.Mutate(frames[mutator.Below(frames.size())]);
+    const std::string_view view = frame;
+    const auto decoded = wire::DecodeBody(view.substr(std::min(frame.size(), std::size_t{4})));
+    if (!decoded.ok()) {
+      ++refused;
+      continue;
+    }
+    if (decoded->__isset.demand) {
+      (void)wire::FromWire(decoded->demand);
+    }
+    (void)wire::EncodeFrame(*decoded);
+  }
+  CHECK(refused > 0);
+}
+
+TEST_CASE("malformed addresses, targets and request ids are harmless") {
+  Mutator mutator(4, kWords);
+  for (int i = 0; i < kCases; ++i) {
+    (void)http::ParseEndpoint(mutator.Mutate("127.0.0.1:8000"));
+    (void)http::QueryParameter(mutator.Mutate("/explain?customer=a%20b&request=%zz%"), "request");
+    (void)ParseRequestId(mutator.Mutate(FormatRequestId({.entry = {77}, .number = 9})));
+  }
+}
+
+}  // namespace
+}  // namespace lagoonwind
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -128,8 +128,9 @@
     return;
   }
   const auto spec = std::ranges::find(options_.backends, daemon.backend, &BackendSpec::name);
-  out << "[backend]\nkind = \"" << (spec->kind == "engine" ? "model" : "service")
-      << "\"\naddress = \"" << backend_addresses_.at(daemon.backend) << "\"\n";
+  out << "[backend]\nname = \"" << daemon.backend << "\"\nkind = \""
+      << (spec->kind == "engine" ? "model" : "service") << "\"\naddress = \""
+      << backend_addresses_.at(daemon.backend) << "\"\n";
 }
 
 void Fleet::StartDaemon(const std::string& name) {
--- /dev/null
+++ b/tests/unit/load_test.cc
@@ -0,0 +1,103 @@
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "fairness_meter.h"
+#include "fleet_probe.h"
+#include "histogram.h"
+#include "load_answer.h"
+#include "load_mix.h"
+
+namespace lagoonwind::ctl {
+namespace {
+
+std::string ReadSource(const std::string& path) {
+  std::ostringstream text;
+  text << std::ifstream(LAGOONWIND_SOURCE_DIR "/" + path).rdbuf();
+  return text.str();
+}
+
+std::string Event(const std::string& token) {
+  return R"(data: {"choices":[{"delta":{"content":")" + token + "\"}}]}\n\n";
+}
+
+TEST_CASE("a histogram's quantiles are within its stated error") {
+  Histogram histogram;
+  for (int i = 1; i <= 1000; ++i) {
+    histogram.Add(i / 1000.0);
+  }
+  CHECK(histogram.Quantile(0.5) == doctest::Approx(0.5).epsilon(Histogram::kRelativeError));
+  CHECK(histogram.Quantile(0.99) == doctest::Approx(0.99).epsilon(Histogram::kRelativeError));
+  Histogram twice = histogram;
+  twice.Merge(histogram);
+  CHECK(twice.count() == 2000);
+  CHECK(twice.Quantile(0.5) == histogram.Quantile(0.5));
+  CHECK(Histogram().Quantile(0.5) == 0);
+}
+
+TEST_CASE("only customers that are backlogged together make a gap") {
+  FairnessMeter meter;
+  const auto sample = [&](double a, double b, bool b_backlogged) {
+    meter.Sample({{"a", {.service = a, .share = 1, .backlogged = true}},
+                  {"b", {.service = b, .share = 2, .backlogged = b_backlogged}}});
+  };
+  sample(0, 0, false);
+  sample(100, 0, false);
+  CHECK(meter.gap() == 0);
+  sample(100, 0, true);
+  sample(110, 10, true);
+  CHECK(meter.gap() == doctest::Approx(5));
+  sample(110, 30, true);
+  CHECK(meter.gap() == doctest::Approx(10));
+}
+
+TEST_CASE("the mixes in examples are valid, and every fault of a mix has its line") {
+  for (const char* file :
+       {"01-local-fleet/load", "02-both-users/pakthong", "02-both-users/saltline"}) {
+    const std::string path = std::string("examples/") + file + ".toml";
+    const auto mix = ParseMix(ReadSource(path), path);
+    CHECK_MESSAGE(mix.ok(), mix.status().ToString());
+  }
+  const auto bad = ParseMix(
+      "[[stream]]\ncustomer = \"a\"\ntarget = \"t\"\nrequests_per_second = 0\ncolour = 1\n", "m");
+  REQUIRE_FALSE(bad.ok());
+  const std::string what(bad.status().message());
+  CHECK(what.find("m:4: requests_per_second") != std::string::npos);
+  CHECK(what.find("m:5: colour: unknown key") != std::string::npos);
+  CHECK_FALSE(ParseMix("", "m").ok());
+}
+
+TEST_CASE("an answer counts as complete only if it is whole and the request's own") {
+  const LoadStream stream{.customer = "a", .target = "crest", .max_tokens = 2};
+  const auto judge = [&](const std::string& body) {
+    Tally tally{.unanswered = 1};
+    LoadAnswer answer(stream, "t7", {}, tally);
+    // In pieces that don't meet the events' ends.
+    const std::string_view view = body;
+    answer.OnPart(view.substr(0, 11), {});
+    answer.OnPart(view.substr(11), {});
+    answer.OnEnd(200, "complete", body, {});
+    CHECK(tally.unanswered == 0);
+    return tally.complete == 1 && tally.broken == 0;
+  };
+  const std::string done = "data: [DONE]\n\n";
+  CHECK(judge(Event("t7.0 ") + Event("t7.1 ") + done));
+  CHECK_FALSE(judge(Event("t7.0 ") + Event("t7.1 ")));
+  CHECK_FALSE(judge(Event("t7.0 ") + done));
+  CHECK_FALSE(judge(Event("t7.1 ") + Event("t7.0 ") + done));
+  CHECK_FALSE(judge(Event("t8.0 ") + Event("t8.1 ") + done));
+}
+
+TEST_CASE("control bytes are told from requests and answers") {
+  const auto bytes = SentBytes(
+      "# HELP x\nlagoonwind_link_bytes_total{direction=\"sent\",kind=\"ping\"} 10\n"
+      "lagoonwind_link_bytes_total{direction=\"received\",kind=\"ping\"} 99\n"
+      "lagoonwind_link_bytes_total{direction=\"sent\",kind=\"chunk\"} 500\n"
+      "lagoonwind_link_bytes_total{direction=\"sent\",kind=\"demand\"} 7\n");
+  CHECK(bytes.control == 17);
+  CHECK(bytes.data == 500);
+}
+
+}  // namespace
+}  // namespace lagoonwind::ctl
--- /dev/null
+++ b/tests/unit/metrics_test.cc
@@ -0,0 +1,65 @@
+#include "metrics.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::runtime {
+namespace {
+
+/// Names of the families on a page, from its TYPE lines.
+std::set<std::string> FamiliesOf(const std::string& page) {
+  std::set<std::string> names;
+  std::istringstream in(page);
+  for (std::string line; std::getline(in, line);) {
+    std::istringstream words(line);
+    std::string hash;
+    std::string type;
+    std::string name;
+    if (words >> hash >> type >> name && hash == "#" && type == "TYPE") {
+      names.insert(name);
+    }
+  }
+  return names;
+}
+
+TEST_CASE("docs/METRICS.md lists exactly the metrics that there are") {
+  Metrics metrics;
+  metrics.RequestFinished("a", policy::Outcome::kComplete, 1);
+  metrics.Update({});
+  std::set<std::string> documented;
+  std::ifstream in(LAGOONWIND_SOURCE_DIR "/docs/METRICS.md");
+  for (std::string line; std::getline(in, line);) {
+    if (line.starts_with("| `")) {
+      documented.insert(line.substr(3, line.find('`', 3) - 3));
+    }
+  }
+  CHECK(FamiliesOf(metrics.Page()) == documented);
+}
+
+TEST_CASE("customers beyond the limit share one series") {
+  Metrics metrics;
+  for (std::size_t i = 0; i < limits::kMaxCustomerSeries + 100; ++i) {
+    metrics.ServiceCharged("customer-" + std::to_string(i), 1);
+  }
+  const std::string page = metrics.Page();
+  CHECK(page.find("lagoonwind_service_units_total{customer=\"other\"} 100") != std::string::npos);
+  CHECK(page.find("customer-250") == std::string::npos);
+}
+
+TEST_CASE("frames are counted by kind") {
+  wire::Message grant;
+  grant.__set_grant({});
+  wire::Message hello;
+  hello.__set_hello({});
+  CHECK(kMessageKinds[KindOf(grant)] == "grant");
+  CHECK(kMessageKinds[KindOf(hello)] == "handshake");
+  CHECK(kMessageKinds[KindOf(wire::Message())] == "other");
+}
+
+}  // namespace
+}  // namespace lagoonwind::runtime
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -12,7 +12,7 @@
 [platform]
 address = "127.0.0.1:9000"
 [links]
-key = "k"
+key = "a-shared-key"
 [backend]
 kind = "service"
 address = "127.0.0.1:9001"
@@ -40,5 +40,28 @@
   CHECK_FALSE(ParseSettings("[process", "x.toml").ok());
 }
 
+TEST_CASE("keys, names and tags have their ranges, and a key is never shown") {
+  std::string text(kAgent);
+  text.replace(text.find("a-shared-key"), 12, "short-key");
+  text.replace(text.find("agent-1"), 7, "agent 1");
+  text.replace(text.find(R"(["gpu"])"), 7, R"(["gpu", "gpu"])");
+  const auto settings = ParseSettings(text, "a.toml");
+  REQUIRE_FALSE(settings.ok());
+  const std::string what(settings.status().message());
+  CHECK(what.find("a.toml:3: process.name") != std::string::npos);
+  CHECK(what.find("a.toml:8: links.key") != std::string::npos);
+  CHECK(what.find("a.toml:12: backend.tags") != std::string::npos);
+  CHECK(what.find("short-key") == std::string::npos);
+}
+
+TEST_CASE("the annotated examples are valid") {
+  for (const char* role : {"entry", "agent"}) {
+    const auto settings =
+        LoadSettings(std::string(LAGOONWIND_SOURCE_DIR "/examples/settings/") + role + ".toml");
+    REQUIRE_MESSAGE(settings.ok(), settings.status().ToString());
+    CHECK(policy::Name(settings->role) == role);
+  }
+}
+
 }  // namespace
 }  // namespace lagoonwind::runtime
