--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -21,6 +21,8 @@
 inline constexpr std::uint32_t kMaxHeaderBytes = 16U << 10U;
 /// Largest number of callers' connections that one entry holds.
 inline constexpr std::size_t kMaxCallerConnections = 8192;
+/// Largest number of connections that an operators' port holds.
+inline constexpr std::size_t kMaxServedConnections = 1024;
 /// Time that a caller has to send one whole request.
 inline constexpr seconds kCallerReadTimeout{30};
 /// Time without progress after which a write to a caller is given up.
@@ -131,6 +133,7 @@
 inline constexpr seconds kStallTimeout{15};
 /// Time for which a window stays at the load at which its backend server refused more.
 inline constexpr seconds kRefusalTime{5};
+
 // Claims of calls that may run once.
 
 /// Number of log streams that claims are split over by the hash of their key.
@@ -156,4 +159,9 @@
 /// Number of attempts that an agent remembers, so that an offer is taken once.
 inline constexpr std::size_t kMaxSeenOffers = 16384;
 
+// Metrics.
+
+/// Number of customers that have series of their own; the rest share the series `other`.
+inline constexpr std::size_t kMaxCustomerSeries = 200;
+
 }  // namespace lagoonwind::limits
