--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -69,4 +69,20 @@
 /// Interval between observations of a backend server by its agent.
 inline constexpr milliseconds kBackendPollInterval{500};
 
+// Fair share.
+
+/// Interval between an agent's reports to a ledger keeper.
+inline constexpr milliseconds kLedgerReportInterval{1000};
+/// Time after which an unanswered report is given up and sent again.
+inline constexpr milliseconds kLedgerAnswerTimeout{3000};
+/// Number of parts that customers are divided into, each with its keeper.
+inline constexpr std::uint32_t kLedgerParts = 32;
+/// Number of agents, in the order of preference, that agents keep links to for each part.
+inline constexpr std::size_t kLedgerChoices = 2;
+/// Time without demand anywhere after which a customer counts as newly backlogged.
+inline constexpr milliseconds kLedgerIdleTime{5000};
+/// Largest lag behind the upper quartile of backlogged customers that is caught up, in mean
+/// requests of the customer whose requests are dearest.
+inline constexpr double kCatchUpRequests = 64;
+
 }  // namespace lagoonwind::limits
--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lagoonwind/base.h"
+#include "lagoonwind/limits.h"
 #include "lagoonwind/rules.h"
 
 /// \file
@@ -95,6 +96,57 @@
   bool operator==(const AgentReport&) const = default;
 };
 
+/// Service of one customer at one agent, as the agent tells it to the customer's ledger keeper.
+struct LedgerEntry {
+  CustomerId customer;
+  /// Service that the agent gave since it started; never shrinks.
+  double service = 0;
+  /// Expected rest of what runs there now.
+  double in_flight = 0;
+  /// Fleet-wide service as the agent last knew it, its own since then included.
+  double known = 0;
+  /// The customer has requests waiting that this agent sees.
+  bool backlogged = false;
+  /// First entry for the customer on this link: the keeper can't build on earlier ones.
+  bool first = false;
+
+  bool operator==(const LedgerEntry&) const = default;
+};
+
+/// An agent's entries that changed since its last report to the same keeper.
+struct LedgerReport {
+  /// Keeps reports of an earlier run of the agent apart.
+  Incarnation agent;
+  std::uint64_t number = 0;
+  /// Service per share that a newly backlogged customer is lifted to.
+  double lift = 0;
+  /// Service per share that no backlogged customer stays behind.
+  double floor = 0;
+  std::vector<LedgerEntry> entries;
+
+  bool operator==(const LedgerReport&) const = default;
+};
+
+/// Service of one customer over the fleet.
+struct LedgerTotal {
+  CustomerId customer;
+  double service = 0;
+  double in_flight = 0;
+  /// Agents that see waiting requests of the customer.
+  std::uint32_t reach = 1;
+
+  bool operator==(const LedgerTotal&) const = default;
+};
+
+/// A keeper's answer to a report.
+struct LedgerTotals {
+  /// Number of the report.
+  std::uint64_t number = 0;
+  std::vector<LedgerTotal> totals;
+
+  bool operator==(const LedgerTotals&) const = default;
+};
+
 /// What a request asks for, as far as decisions need it.
 struct RequestTraits {
   CustomerId customer;
@@ -204,6 +256,15 @@
   AttemptResult result = AttemptResult::kUnknown;
   Reason reason = Reason::kNone;
 };
+/// An agent reported service to this one, which keeps the ledger of the customers named.
+struct LedgerReported {
+  MemberId agent;
+  LedgerReport report;
+};
+struct LedgerAnswered {
+  MemberId keeper;
+  LedgerTotals totals;
+};
 /// The agent asked its backend server how it is.
 struct BackendObserved {
   bool reachable = false;
@@ -214,11 +275,12 @@
   std::uint32_t running = 0;
 };
 
-using Event = std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
-                           RequestArrived, CallerLeft, AnswerBegan, AttemptQueued, AttemptStarted,
-                           AttemptEnded, GrantReceived, AgentReported, OfferReceived,
-                           CancelReceived, GrantDeclined, DemandReported, ServiceAccrued,
-                           AnswerStarted, AttemptFinished, BackendObserved>;
+using Event =
+    std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
+                 RequestArrived, CallerLeft, AnswerBegan, AttemptQueued, AttemptStarted,
+                 AttemptEnded, GrantReceived, AgentReported, OfferReceived, CancelReceived,
+                 GrantDeclined, DemandReported, ServiceAccrued, AnswerStarted, AttemptFinished,
+                 BackendObserved, LedgerReported, LedgerAnswered>;
 
 // Actions of both roles.
 
@@ -288,10 +350,18 @@
 struct SendAgentReport {
   AgentReport report;
 };
+struct SendLedgerReport {
+  MemberId keeper;
+  LedgerReport report;
+};
+struct SendLedgerTotals {
+  MemberId agent;
+  LedgerTotals totals;
+};
 
 using Action = std::variant<OpenLink, CloseLink, SendOffer, SendCancel, SendDecline, SendDemand,
                             FinishRequest, StartAttempt, QueueAttempt, RefuseAttempt, CancelAttempt,
-                            SendGrant, SendAgentReport>;
+                            SendGrant, SendAgentReport, SendLedgerReport, SendLedgerTotals>;
 
 /// What was decided; `Describe` gives it in words.
 enum class DecisionKind {
@@ -357,6 +427,29 @@
   std::vector<MemberStats> members;
 };
 
+/// How an agent compares customers.
+enum class ServiceView {
+  /// By its own service alone.
+  kLocal,
+  /// By the ledger's last total and its own service since.
+  kLateTotal,
+  /// As kLateTotal, its own service since scaled by the number of agents that act at the same time.
+  kReach,
+  /// As kReach, with rounding that differs by agent and customer.
+  kDithered,
+};
+
+/// What a request is expected to cost before its end is known.
+enum class CostEstimate { kNone, kMean, kQuantile };
+
+/// Parameters of fair sharing; all but the defaults are alternatives for measurement.
+struct FairShareOptions {
+  ServiceView view = ServiceView::kDithered;
+  CostEstimate estimate = CostEstimate::kMean;
+  /// Interval between an agent's reports to a ledger keeper.
+  Duration report_interval = limits::kLedgerReportInterval;
+};
+
 /// Parameters of a Policy; the defaults suit tests.
 struct Init {
   Role role = Role::kEntry;
@@ -367,6 +460,9 @@
   std::uint64_t seed = 1;
   /// Tags of the agent's backend server.
   std::vector<std::string> tags;
+  /// Requests that the agent's backend server bears at a time; 0 finds it out by warm-up.
+  std::uint32_t fixed_window = 0;
+  FairShareOptions fair_share;
 };
 
 /// The decisions of one process. Not thread safe: the caller serialises all methods.
--- a/packages/policy/src/blackboard.cc
+++ b/packages/policy/src/blackboard.cc
@@ -50,6 +50,11 @@
   return rule->backend_tag.empty() || std::ranges::count(init.tags, rule->backend_tag) > 0;
 }
 
+double Blackboard::OwnService(CustomerId customer) const {
+  const auto found = service.find(customer);
+  return found == service.end() ? 0 : found->second;
+}
+
 void Blackboard::Record(Decision decision) {
   decision.at = now;
   decisions.Add(decision);
--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cost_estimator.h"
 #include "lagoonwind/policy.h"
 
 namespace lagoonwind::policy {
@@ -88,6 +89,20 @@
   bool answer_started = false;
 };
 
+/// What an agent knows of a customer's service.
+struct CustomerAccount {
+  /// Expected rest of what runs here and of granted requests, in units of service.
+  double in_flight = 0;
+  /// Fleet-wide service and rest in flight at the last answer of the keeper.
+  LedgerTotal total;
+  /// True once a keeper has answered.
+  bool answered = false;
+  /// Own service and rest in flight that the total includes.
+  double included = 0;
+  /// The part of `included` that was given.
+  double included_service = 0;
+};
+
 struct BackendState {
   bool reachable = false;
   std::uint64_t instance = 0;
@@ -128,6 +143,12 @@
   BackendState backend;
   // Agent: FairShareController. Service per customer, in units of service.
   absl::btree_map<CustomerId, double> service;
+  // Agent: FairShareController (in_flight) and LedgerController (the rest).
+  absl::btree_map<CustomerId, CustomerAccount> accounts;
+  // Agent: LedgerController. Number of answers of keepers so far.
+  std::uint64_t ledger_round = 0;
+  // Agent: FairShareController.
+  CostEstimator costs;
 
   // Every controller.
   DecisionRing decisions;
@@ -140,6 +161,8 @@
   [[nodiscard]] std::uint32_t Room() const;
   /// True if this agent's backend server runs the target under the current rules.
   [[nodiscard]] bool Serves(TargetId target) const;
+  /// Service that this agent gave to a customer since it started.
+  [[nodiscard]] double OwnService(CustomerId customer) const;
   void Record(Decision decision);
 };
 
--- a/packages/policy/src/controller.h
+++ b/packages/policy/src/controller.h
@@ -41,7 +41,9 @@
 std::unique_ptr<Controller> MakeRoutingController();
 // Agent.
 std::unique_ptr<Controller> MakeWarmUpController();
+std::unique_ptr<Controller> MakeFixedWindowController();
 std::unique_ptr<Controller> MakeFairShareController();
+std::unique_ptr<Controller> MakeLedgerController();
 std::unique_ptr<Controller> MakeAdmissionController();
 std::unique_ptr<Controller> MakeReportController();
 
--- /dev/null
+++ b/packages/policy/src/cost_estimator.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <absl/container/btree_map.h>
+
+#include "lagoonwind/policy.h"
+
+namespace lagoonwind::policy {
+
+/// Expects the cost of a customer's next request from its last ones. Hints of callers aren't used.
+/// Not thread safe.
+class CostEstimator {
+ public:
+  /// Takes in the cost of a request that ended, in units of service.
+  void Learn(CustomerId customer, double cost);
+  /// Expected cost of the customer's next request, in units of service; that of all customers for
+  /// one without history.
+  [[nodiscard]] double Typical(CustomerId customer) const;
+  /// Cost that a new request is charged at its start.
+  [[nodiscard]] double Expect(CustomerId customer, CostEstimate estimate) const;
+
+ private:
+  struct Row {
+    double mean = 0;
+    double quantile = 0;
+  };
+  static void Learn(Row& row, double cost);
+
+  absl::btree_map<CustomerId, Row> rows_;
+  Row all_;
+};
+
+}  // namespace lagoonwind::policy
--- a/packages/policy/src/fair_share_controller.cc
+++ b/packages/policy/src/fair_share_controller.cc
@@ -3,6 +3,7 @@
 
 #include "controller.h"
 #include "lagoonwind/limits.h"
+#include "service_estimator.h"
 
 namespace lagoonwind::policy {
 namespace {
@@ -13,6 +14,8 @@
   void OnEvent(const Event& event, Blackboard& board, ActionList& /*actions*/) override {
     if (const auto* accrued = std::get_if<ServiceAccrued>(&event)) {
       OnAccrued(*accrued, board);
+    } else if (const auto* finished = std::get_if<AttemptFinished>(&event)) {
+      OnFinished(*finished, board);
     } else if (const auto* reported = std::get_if<DemandReported>(&event)) {
       OnDemand(*reported, board);
     } else if (const auto* declined = std::get_if<GrantDeclined>(&event)) {
@@ -24,6 +27,7 @@
 
   void Update(Blackboard& board, ActionList& actions) override {
     ExpireGrants(board);
+    ExpectInFlight(board);
     while (board.Room() > 0) {
       const auto next = LeastServed(board);
       if (!next) {
@@ -43,6 +47,13 @@
     board.service[found->second.traits.customer] += accrued.service;
   }
 
+  static void OnFinished(const AttemptFinished& finished, Blackboard& board) {
+    const auto found = board.running.find(finished.attempt);
+    if (found != board.running.end() && found->second.service > 0) {
+      board.costs.Learn(found->second.traits.customer, found->second.service);
+    }
+  }
+
   static void OnDemand(const DemandReported& reported, Blackboard& board) {
     for (const auto& demand : reported.demand) {
       const DemandKey key{
@@ -98,21 +109,38 @@
     });
   }
 
-  static double ServicePerShare(const Blackboard& board, CustomerId customer) {
-    const auto found = board.service.find(customer);
-    const double service = found == board.service.end() ? 0 : found->second;
-    return service / board.configuration->Share(customer);
+  /// Sets what is expected still to come from running attempts and granted requests.
+  static void ExpectInFlight(Blackboard& board) {
+    for (auto& [customer, account] : board.accounts) {
+      account.in_flight = 0;
+    }
+    const CostEstimate estimate = board.init.fair_share.estimate;
+    for (const auto& [id, attempt] : board.running) {
+      const CustomerId customer = attempt.traits.customer;
+      const double rest = board.costs.Expect(customer, estimate) - attempt.service;
+      board.accounts[customer].in_flight += std::max(rest, 0.0);
+    }
+    for (const auto& [id, grant] : board.grants) {
+      const CustomerId customer = grant.demand.customer;
+      board.accounts[customer].in_flight += board.costs.Expect(customer, estimate);
+    }
   }
 
   static std::optional<DemandKey> LeastServed(const Blackboard& board) {
+    const ServiceEstimator estimator(board);
     std::optional<DemandKey> best;
     double least = 0;
     Time oldest;
+    CustomerId customer;
+    double service = 0;
     for (const auto& [key, demand] : board.demand) {
       if (demand.granted >= demand.count || !board.Serves(key.target)) {
         continue;
       }
-      const double service = ServicePerShare(board, key.customer);
+      if (key.customer != customer) {
+        customer = key.customer;
+        service = estimator.PerShare(customer);
+      }
       if (!best || service < least || (service == least && demand.oldest < oldest)) {
         best = key;
         least = service;
@@ -132,7 +160,9 @@
     board.Record({.kind = DecisionKind::kGrantSent,
                   .customer = key.customer,
                   .member = key.entry,
-                  .value = ServicePerShare(board, key.customer)});
+                  .value = board.OwnService(key.customer)});
+    board.accounts[key.customer].in_flight +=
+        board.costs.Expect(key.customer, board.init.fair_share.estimate);
   }
 
   std::uint64_t last_grant_ = 0;
--- /dev/null
+++ b/packages/policy/src/ledger_controller.cc
@@ -0,0 +1,221 @@
+#include <algorithm>
+#include <vector>
+
+#include "controller.h"
+#include "keeper_map.h"
+#include "lagoonwind/limits.h"
+#include "ledger_keeper.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+/// Exchanges service with the ledger keepers of an agent's customers, and keeps the ledger of the
+/// customers that fall to this agent.
+class LedgerController final : public Controller {
+ public:
+  void OnEvent(const Event& event, Blackboard& board, ActionList& actions) override {
+    if (const auto* reported = std::get_if<LedgerReported>(&event)) {
+      actions.Add(SendLedgerTotals{.agent = reported->agent,
+                                   .totals = keeper_.Take(reported->agent, reported->report,
+                                                          *board.configuration, board.now)});
+    } else if (const auto* answered = std::get_if<LedgerAnswered>(&event)) {
+      OnAnswered(answered->keeper, answered->totals, board);
+    } else if (const auto* up = std::get_if<LinkUp>(&event)) {
+      OnLinkChanged(up->member.id, board);
+      suspects_.erase(up->member.id);
+      down_since_.erase(up->member.id);
+    } else if (const auto* down = std::get_if<LinkDown>(&event)) {
+      OnLinkChanged(down->member, board);
+    } else if (std::holds_alternative<MembersListed>(event)) {
+      rebuild_ = true;
+    }
+  }
+
+  void Update(Blackboard& board, ActionList& actions) override {
+    SuspectUnreachable(board);
+    if (std::exchange(rebuild_, false)) {
+      keepers_.Rebuild(board, suspects_);
+      OpenLinks(board, actions);
+    }
+    if (board.now >= next_report_) {
+      next_report_ = board.now + board.init.fair_share.report_interval;
+      SendReports(board, actions);
+    }
+  }
+
+ private:
+  /// The exchange with one keeper.
+  struct Channel {
+    /// Entries as the keeper knows them.
+    absl::btree_map<CustomerId, LedgerEntry> reported;
+    /// Entries of the report that isn't answered yet.
+    std::vector<LedgerEntry> pending;
+    std::uint64_t number = 0;
+    bool awaiting = false;
+    Time sent;
+  };
+
+  void OnLinkChanged(MemberId member, Blackboard& board) {
+    channels_.erase(member);
+    keeper_.Forget(member, board.now);
+    rebuild_ = true;
+  }
+
+  /// A keeper that stays out of reach for a link timeout is replaced until it is back.
+  void SuspectUnreachable(const Blackboard& board) {
+    for (const MemberId id : keepers_.wanted()) {
+      if (board.Linked(id) || suspects_.contains(id)) {
+        continue;
+      }
+      const Time since = down_since_.try_emplace(id, board.now).first->second;
+      if (board.now - since >= limits::kLinkTimeout) {
+        suspects_[id] = board.now;
+        rebuild_ = true;
+      }
+    }
+  }
+
+  /// Of two agents that want a link to each other the one with the smaller id opens it.
+  void OpenLinks(Blackboard& board, ActionList& actions) {
+    for (const MemberId id : keepers_.wanted()) {
+      MemberState& state = board.members[id];
+      const bool opens = !keepers_.self_keeps() || board.self < id;
+      if (opens && state.listed && !state.opening && !state.linked) {
+        state.opening = true;
+        actions.Add(OpenLink{.member = state.member});
+      }
+    }
+    for (auto& [id, state] : board.members) {
+      if (state.opening && !state.listed && !state.linked) {
+        state.opening = false;
+        actions.Add(CloseLink{.member = id});
+      }
+    }
+  }
+
+  void SendReports(Blackboard& board, ActionList& actions) {
+    const std::vector<CustomerId> backlogged = Backlogged(board);
+    absl::btree_map<MemberId, std::vector<LedgerEntry>> changes;
+    for (const auto& [customer, account] : board.accounts) {
+      const MemberId id = keepers_.KeeperOf(customer, board);
+      if (!id.valid()) {
+        continue;
+      }
+      const LedgerEntry entry = EntryOf(customer, account, backlogged, board);
+      AddChange(entry, channels_[id], changes[id]);
+    }
+    for (auto& [id, entries] : changes) {
+      Report(id, std::move(entries), backlogged, board, actions);
+    }
+  }
+
+  static std::vector<CustomerId> Backlogged(Blackboard& board) {
+    std::vector<CustomerId> list;
+    for (const auto& [key, demand] : board.demand) {
+      if (list.empty() || list.back() != key.customer) {
+        list.push_back(key.customer);
+        board.accounts.try_emplace(key.customer);
+      }
+    }
+    return list;
+  }
+
+  static LedgerEntry EntryOf(CustomerId customer, const CustomerAccount& account,
+                             std::span<const CustomerId> backlogged, const Blackboard& board) {
+    const double own = board.OwnService(customer);
+    return LedgerEntry{.customer = customer,
+                       .service = own,
+                       .in_flight = account.in_flight,
+                       .known = account.total.service + own - account.included_service,
+                       .backlogged = std::ranges::binary_search(backlogged, customer)};
+  }
+
+  static void AddChange(LedgerEntry entry, const Channel& channel,
+                        std::vector<LedgerEntry>& changes) {
+    const auto before = channel.reported.find(entry.customer);
+    entry.first = before == channel.reported.end();
+    const bool empty = entry.service == 0 && entry.known == 0 && !entry.backlogged;
+    const bool changed = entry.first ? !empty
+                                     : entry.service != before->second.service ||
+                                           entry.in_flight != before->second.in_flight ||
+                                           entry.backlogged != before->second.backlogged;
+    if (changed) {
+      changes.push_back(entry);
+    }
+  }
+
+  /// Sends changes, or an empty report if only the answer is wanted.
+  void Report(MemberId id, std::vector<LedgerEntry> entries, std::span<const CustomerId> backlogged,
+              Blackboard& board, ActionList& actions) {
+    Channel& channel = channels_[id];
+    if (channel.awaiting && board.now - channel.sent < limits::kLedgerAnswerTimeout) {
+      return;
+    }
+    LedgerReport report{.agent = board.init.incarnation, .number = ++channel.number};
+    SetLevels(backlogged, board, report);
+    report.entries = entries;
+    channel.pending = std::move(entries);
+    channel.awaiting = true;
+    channel.sent = board.now;
+    if (id == board.self) {
+      OnAnswered(id, keeper_.Take(id, report, *board.configuration, board.now), board);
+    } else {
+      actions.Add(SendLedgerReport{.keeper = id, .report = std::move(report)});
+    }
+  }
+
+  static void SetLevels(std::span<const CustomerId> backlogged, const Blackboard& board,
+                        LedgerReport& report) {
+    std::vector<double> levels;
+    double dearest = 0;
+    for (const CustomerId customer : backlogged) {
+      const CustomerAccount& account = board.accounts.at(customer);
+      if (account.answered) {
+        levels.push_back(account.total.service / board.configuration->Share(customer));
+        dearest = std::max(dearest, board.costs.Typical(customer));
+      }
+    }
+    if (levels.empty()) {
+      return;
+    }
+    report.lift = std::ranges::min(levels);
+    const auto quartile = levels.begin() + static_cast<std::ptrdiff_t>(levels.size() * 3 / 4);
+    std::ranges::nth_element(levels, quartile);
+    report.floor = std::max(*quartile - limits::kCatchUpRequests * dearest, 0.0);
+  }
+
+  void OnAnswered(MemberId keeper, const LedgerTotals& totals, Blackboard& board) {
+    const auto channel = channels_.find(keeper);
+    if (channel == channels_.end() || channel->second.number != totals.number) {
+      return;
+    }
+    channel->second.awaiting = false;
+    for (const auto& entry : channel->second.pending) {
+      CustomerAccount& account = board.accounts[entry.customer];
+      account.included = entry.service + entry.in_flight;
+      account.included_service = entry.service;
+      channel->second.reported[entry.customer] = entry;
+    }
+    channel->second.pending.clear();
+    for (const auto& total : totals.totals) {
+      CustomerAccount& account = board.accounts[total.customer];
+      account.total = total;
+      account.answered = true;
+    }
+    ++board.ledger_round;
+  }
+
+  KeeperMap keepers_;
+  LedgerKeeper keeper_;
+  absl::btree_map<MemberId, Channel> channels_;
+  absl::btree_map<MemberId, Time> down_since_;
+  absl::btree_map<MemberId, Time> suspects_;
+  bool rebuild_ = true;
+  Time next_report_;
+};
+
+}  // namespace
+
+std::unique_ptr<Controller> MakeLedgerController() { return std::make_unique<LedgerController>(); }
+
+}  // namespace lagoonwind::policy
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -22,11 +22,12 @@
   return list;
 }
 
-ControllerList AgentControllers() {
+ControllerList AgentControllers(const Init& init) {
   ControllerList list;
   list.push_back(MakeConfigurationController());
   list.push_back(MakeMembershipController());
-  list.push_back(MakeWarmUpController());
+  list.push_back(init.fixed_window > 0 ? MakeFixedWindowController() : MakeWarmUpController());
+  list.push_back(MakeLedgerController());
   list.push_back(MakeFairShareController());
   list.push_back(MakeAdmissionController());
   list.push_back(MakeReportController());
@@ -110,7 +111,7 @@
 
 std::unique_ptr<Policy> MakePolicy(const Init& init) {
   return std::make_unique<BlackboardPolicy>(
-      init, init.role == Role::kEntry ? EntryControllers() : AgentControllers());
+      init, init.role == Role::kEntry ? EntryControllers() : AgentControllers(init));
 }
 
 }  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/policy/src/service_estimator.cc
@@ -0,0 +1,65 @@
+#include "service_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace lagoonwind::policy {
+namespace {
+
+/// Fractional part of the golden ratio: its multiples fill [0, 1) evenly.
+constexpr double kGoldenFraction = 0.6180339887498949;
+constexpr double kHashRange = 18446744073709551616.0;
+
+}  // namespace
+
+ServiceEstimator::ServiceEstimator(const Blackboard& board) : board_(board) {
+  double least = std::numeric_limits<double>::infinity();
+  CustomerId last;
+  for (const auto& [key, demand] : board.demand) {
+    if (key.customer == last) {
+      continue;
+    }
+    last = key.customer;
+    const auto account = board.accounts.find(last);
+    if (account != board.accounts.end() && account->second.answered) {
+      const LedgerTotal& total = account->second.total;
+      least = std::min(least, (total.service + total.in_flight) / board.configuration->Share(last));
+    }
+  }
+  least_ = std::isinf(least) ? 0 : least;
+}
+
+double ServiceEstimator::PerShare(CustomerId customer) const {
+  const double share = board_.configuration->Share(customer);
+  const auto found = board_.accounts.find(customer);
+  const CustomerAccount account =
+      found == board_.accounts.end() ? CustomerAccount{} : found->second;
+  const double own = board_.OwnService(customer) + account.in_flight;
+  const ServiceView view = board_.init.fair_share.view;
+  if (view == ServiceView::kLocal) {
+    return own / share;
+  }
+  const double base =
+      account.answered ? account.total.service + account.total.in_flight : least_ * share;
+  double service = base + Unreported(own, account);
+  if (view == ServiceView::kDithered) {
+    const double others = account.total.reach - 1.0;
+    service += Dither(customer) * others * board_.costs.Typical(customer);
+  }
+  return service / share;
+}
+
+double ServiceEstimator::Unreported(double own, const CustomerAccount& account) const {
+  const double unreported = own - account.included;
+  const bool scaled = board_.init.fair_share.view != ServiceView::kLateTotal && unreported > 0;
+  return scaled ? unreported * account.total.reach : unreported;
+}
+
+double ServiceEstimator::Dither(CustomerId customer) const {
+  const double start = static_cast<double>(MixHash(board_.self.value, customer.value)) / kHashRange;
+  const double turn = kGoldenFraction * static_cast<double>(board_.ledger_round);
+  return std::fmod(start + turn, 1.0);
+}
+
+}  // namespace lagoonwind::policy
--- a/packages/runtime/src/agent_daemon.cc
+++ b/packages/runtime/src/agent_daemon.cc
@@ -67,6 +67,14 @@
       wire::Message message;
       message.__set_agent_report(wire::ToWire(report->report));
       context_.links.Broadcast(policy::Role::kEntry, message);
+    } else if (const auto* ledger = std::get_if<policy::SendLedgerReport>(&action)) {
+      wire::Message message;
+      message.__set_ledger_report(wire::ToWire(ledger->report));
+      context_.links.Send(ledger->keeper, message);
+    } else if (const auto* totals = std::get_if<policy::SendLedgerTotals>(&action)) {
+      wire::Message message;
+      message.__set_ledger_totals(wire::ToWire(totals->totals));
+      context_.links.Send(totals->agent, message);
     }
   }
 
@@ -82,6 +90,12 @@
     } else if (message.__isset.decline) {
       context_.policy.Post(policy::GrantDeclined{
           .entry = from, .grant = {static_cast<std::uint64_t>(message.decline.id)}});
+    } else if (message.__isset.ledger_report) {
+      context_.policy.Post(
+          policy::LedgerReported{.agent = from, .report = wire::FromWire(message.ledger_report)});
+    } else if (message.__isset.ledger_totals) {
+      context_.policy.Post(
+          policy::LedgerAnswered{.keeper = from, .totals = wire::FromWire(message.ledger_totals)});
     }
   }
 
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -2603,6 +2603,736 @@
 }
 
 
+LedgerEntry::~LedgerEntry() noexcept {
+}
+
+
+void LedgerEntry::__set_customer(const int64_t val) {
+  this->customer = val;
+}
+
+void LedgerEntry::__set_given(const double val) {
+  this->given = val;
+}
+
+void LedgerEntry::__set_in_flight(const double val) {
+  this->in_flight = val;
+}
+
+void LedgerEntry::__set_known(const double val) {
+  this->known = val;
+}
+
+void LedgerEntry::__set_backlogged(const bool val) {
+  this->backlogged = val;
+}
+
+void LedgerEntry::__set_first(const bool val) {
+  this->first = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->given);
+          this->__isset.given = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->known);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->backlogged);
+          this->__isset.backlogged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerEntry");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("given", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->given);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backlogged", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->backlogged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerEntry &a, LedgerEntry &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.given, b.given);
+  swap(a.in_flight, b.in_flight);
+  swap(a.known, b.known);
+  swap(a.backlogged, b.backlogged);
+  swap(a.first, b.first);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerEntry::LedgerEntry(const LedgerEntry& other80) noexcept {
+  customer = other80.customer;
+  given = other80.given;
+  in_flight = other80.in_flight;
+  known = other80.known;
+  backlogged = other80.backlogged;
+  first = other80.first;
+  __isset = other80.__isset;
+}
+LedgerEntry::LedgerEntry(LedgerEntry&& other81) noexcept {
+  customer = other81.customer;
+  given = other81.given;
+  in_flight = other81.in_flight;
+  known = other81.known;
+  backlogged = other81.backlogged;
+  first = other81.first;
+  __isset = other81.__isset;
+}
+LedgerEntry& LedgerEntry::operator=(const LedgerEntry& other82) noexcept {
+  customer = other82.customer;
+  given = other82.given;
+  in_flight = other82.in_flight;
+  known = other82.known;
+  backlogged = other82.backlogged;
+  first = other82.first;
+  __isset = other82.__isset;
+  return *this;
+}
+LedgerEntry& LedgerEntry::operator=(LedgerEntry&& other83) noexcept {
+  customer = other83.customer;
+  given = other83.given;
+  in_flight = other83.in_flight;
+  known = other83.known;
+  backlogged = other83.backlogged;
+  first = other83.first;
+  __isset = other83.__isset;
+  return *this;
+}
+void LedgerEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerEntry(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "given=" << to_string(given);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "known=" << to_string(known);
+  out << ", " << "backlogged=" << to_string(backlogged);
+  out << ", " << "first=" << to_string(first);
+  out << ")";
+}
+
+
+LedgerReport::~LedgerReport() noexcept {
+}
+
+
+void LedgerReport::__set_agent_incarnation(const int64_t val) {
+  this->agent_incarnation = val;
+}
+
+void LedgerReport::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LedgerReport::__set_lift(const double val) {
+  this->lift = val;
+}
+
+void LedgerReport::__set_floor(const double val) {
+  this->floor = val;
+}
+
+void LedgerReport::__set_entries(const std::vector<LedgerEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agent_incarnation);
+          this->__isset.agent_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->lift);
+          this->__isset.lift = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->floor);
+          this->__isset.floor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->entries.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->entries[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerReport");
+
+  xfer += oprot->writeFieldBegin("agent_incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->agent_incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lift", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->lift);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floor", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->floor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LedgerEntry> ::const_iterator _iter89;
+    for (_iter89 = this->entries.begin(); _iter89 != this->entries.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerReport &a, LedgerReport &b) {
+  using ::std::swap;
+  swap(a.agent_incarnation, b.agent_incarnation);
+  swap(a.number, b.number);
+  swap(a.lift, b.lift);
+  swap(a.floor, b.floor);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerReport::LedgerReport(const LedgerReport& other90) {
+  agent_incarnation = other90.agent_incarnation;
+  number = other90.number;
+  lift = other90.lift;
+  floor = other90.floor;
+  entries = other90.entries;
+  __isset = other90.__isset;
+}
+LedgerReport::LedgerReport(LedgerReport&& other91) noexcept {
+  agent_incarnation = other91.agent_incarnation;
+  number = other91.number;
+  lift = other91.lift;
+  floor = other91.floor;
+  entries = std::move(other91.entries);
+  __isset = other91.__isset;
+}
+LedgerReport& LedgerReport::operator=(const LedgerReport& other92) {
+  agent_incarnation = other92.agent_incarnation;
+  number = other92.number;
+  lift = other92.lift;
+  floor = other92.floor;
+  entries = other92.entries;
+  __isset = other92.__isset;
+  return *this;
+}
+LedgerReport& LedgerReport::operator=(LedgerReport&& other93) noexcept {
+  agent_incarnation = other93.agent_incarnation;
+  number = other93.number;
+  lift = other93.lift;
+  floor = other93.floor;
+  entries = std::move(other93.entries);
+  __isset = other93.__isset;
+  return *this;
+}
+void LedgerReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerReport(";
+  out << "agent_incarnation=" << to_string(agent_incarnation);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "lift=" << to_string(lift);
+  out << ", " << "floor=" << to_string(floor);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+LedgerTotal::~LedgerTotal() noexcept {
+}
+
+
+void LedgerTotal::__set_customer(const int64_t val) {
+  this->customer = val;
+}
+
+void LedgerTotal::__set_given(const double val) {
+  this->given = val;
+}
+
+void LedgerTotal::__set_in_flight(const double val) {
+  this->in_flight = val;
+}
+
+void LedgerTotal::__set_reach(const int32_t val) {
+  this->reach = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerTotal& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerTotal::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->given);
+          this->__isset.given = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reach);
+          this->__isset.reach = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerTotal::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerTotal");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("given", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->given);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reach", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->reach);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerTotal &a, LedgerTotal &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.given, b.given);
+  swap(a.in_flight, b.in_flight);
+  swap(a.reach, b.reach);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerTotal::LedgerTotal(const LedgerTotal& other94) noexcept {
+  customer = other94.customer;
+  given = other94.given;
+  in_flight = other94.in_flight;
+  reach = other94.reach;
+  __isset = other94.__isset;
+}
+LedgerTotal::LedgerTotal(LedgerTotal&& other95) noexcept {
+  customer = other95.customer;
+  given = other95.given;
+  in_flight = other95.in_flight;
+  reach = other95.reach;
+  __isset = other95.__isset;
+}
+LedgerTotal& LedgerTotal::operator=(const LedgerTotal& other96) noexcept {
+  customer = other96.customer;
+  given = other96.given;
+  in_flight = other96.in_flight;
+  reach = other96.reach;
+  __isset = other96.__isset;
+  return *this;
+}
+LedgerTotal& LedgerTotal::operator=(LedgerTotal&& other97) noexcept {
+  customer = other97.customer;
+  given = other97.given;
+  in_flight = other97.in_flight;
+  reach = other97.reach;
+  __isset = other97.__isset;
+  return *this;
+}
+void LedgerTotal::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerTotal(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "given=" << to_string(given);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "reach=" << to_string(reach);
+  out << ")";
+}
+
+
+LedgerTotals::~LedgerTotals() noexcept {
+}
+
+
+void LedgerTotals::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LedgerTotals::__set_totals(const std::vector<LedgerTotal> & val) {
+  this->totals = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerTotals& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerTotals::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->totals.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->totals.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
+            {
+              xfer += this->totals[_i102].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.totals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerTotals::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerTotals");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("totals", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->totals.size()));
+    std::vector<LedgerTotal> ::const_iterator _iter103;
+    for (_iter103 = this->totals.begin(); _iter103 != this->totals.end(); ++_iter103)
+    {
+      xfer += (*_iter103).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerTotals &a, LedgerTotals &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.totals, b.totals);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerTotals::LedgerTotals(const LedgerTotals& other104) {
+  number = other104.number;
+  totals = other104.totals;
+  __isset = other104.__isset;
+}
+LedgerTotals::LedgerTotals(LedgerTotals&& other105) noexcept {
+  number = other105.number;
+  totals = std::move(other105.totals);
+  __isset = other105.__isset;
+}
+LedgerTotals& LedgerTotals::operator=(const LedgerTotals& other106) {
+  number = other106.number;
+  totals = other106.totals;
+  __isset = other106.__isset;
+  return *this;
+}
+LedgerTotals& LedgerTotals::operator=(LedgerTotals&& other107) noexcept {
+  number = other107.number;
+  totals = std::move(other107.totals);
+  __isset = other107.__isset;
+  return *this;
+}
+void LedgerTotals::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerTotals(";
+  out << "number=" << to_string(number);
+  out << ", " << "totals=" << to_string(totals);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -2681,6 +3411,16 @@
   this->agent_report = val;
 __isset.agent_report = true;
 }
+
+void Message::__set_ledger_report(const LedgerReport& val) {
+  this->ledger_report = val;
+__isset.ledger_report = true;
+}
+
+void Message::__set_ledger_totals(const LedgerTotals& val) {
+  this->ledger_totals = val;
+__isset.ledger_totals = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -2829,6 +3569,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ledger_report.read(iprot);
+          this->__isset.ledger_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ledger_totals.read(iprot);
+          this->__isset.ledger_totals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2921,6 +3677,16 @@
     xfer += this->agent_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.ledger_report) {
+    xfer += oprot->writeFieldBegin("ledger_report", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->ledger_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ledger_totals) {
+    xfer += oprot->writeFieldBegin("ledger_totals", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->ledger_totals.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2943,81 +3709,91 @@
   swap(a.grant, b.grant);
   swap(a.decline, b.decline);
   swap(a.agent_report, b.agent_report);
+  swap(a.ledger_report, b.ledger_report);
+  swap(a.ledger_totals, b.ledger_totals);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other80) {
-  hello = other80.hello;
-  proof = other80.proof;
-  ping = other80.ping;
-  leaving = other80.leaving;
-  offer = other80.offer;
-  queued = other80.queued;
-  started = other80.started;
-  head = other80.head;
-  chunk = other80.chunk;
-  ended = other80.ended;
-  cancel = other80.cancel;
-  demand = other80.demand;
-  grant = other80.grant;
-  decline = other80.decline;
-  agent_report = other80.agent_report;
-  __isset = other80.__isset;
-}
-Message::Message(Message&& other81) noexcept {
-  hello = std::move(other81.hello);
-  proof = std::move(other81.proof);
-  ping = std::move(other81.ping);
-  leaving = std::move(other81.leaving);
-  offer = std::move(other81.offer);
-  queued = std::move(other81.queued);
-  started = std::move(other81.started);
-  head = std::move(other81.head);
-  chunk = std::move(other81.chunk);
-  ended = std::move(other81.ended);
-  cancel = std::move(other81.cancel);
-  demand = std::move(other81.demand);
-  grant = std::move(other81.grant);
-  decline = std::move(other81.decline);
-  agent_report = std::move(other81.agent_report);
-  __isset = other81.__isset;
-}
-Message& Message::operator=(const Message& other82) {
-  hello = other82.hello;
-  proof = other82.proof;
-  ping = other82.ping;
-  leaving = other82.leaving;
-  offer = other82.offer;
-  queued = other82.queued;
-  started = other82.started;
-  head = other82.head;
-  chunk = other82.chunk;
-  ended = other82.ended;
-  cancel = other82.cancel;
-  demand = other82.demand;
-  grant = other82.grant;
-  decline = other82.decline;
-  agent_report = other82.agent_report;
-  __isset = other82.__isset;
+Message::Message(const Message& other108) {
+  hello = other108.hello;
+  proof = other108.proof;
+  ping = other108.ping;
+  leaving = other108.leaving;
+  offer = other108.offer;
+  queued = other108.queued;
+  started = other108.started;
+  head = other108.head;
+  chunk = other108.chunk;
+  ended = other108.ended;
+  cancel = other108.cancel;
+  demand = other108.demand;
+  grant = other108.grant;
+  decline = other108.decline;
+  agent_report = other108.agent_report;
+  ledger_report = other108.ledger_report;
+  ledger_totals = other108.ledger_totals;
+  __isset = other108.__isset;
+}
+Message::Message(Message&& other109) noexcept {
+  hello = std::move(other109.hello);
+  proof = std::move(other109.proof);
+  ping = std::move(other109.ping);
+  leaving = std::move(other109.leaving);
+  offer = std::move(other109.offer);
+  queued = std::move(other109.queued);
+  started = std::move(other109.started);
+  head = std::move(other109.head);
+  chunk = std::move(other109.chunk);
+  ended = std::move(other109.ended);
+  cancel = std::move(other109.cancel);
+  demand = std::move(other109.demand);
+  grant = std::move(other109.grant);
+  decline = std::move(other109.decline);
+  agent_report = std::move(other109.agent_report);
+  ledger_report = std::move(other109.ledger_report);
+  ledger_totals = std::move(other109.ledger_totals);
+  __isset = other109.__isset;
+}
+Message& Message::operator=(const Message& other110) {
+  hello = other110.hello;
+  proof = other110.proof;
+  ping = other110.ping;
+  leaving = other110.leaving;
+  offer = other110.offer;
+  queued = other110.queued;
+  started = other110.started;
+  head = other110.head;
+  chunk = other110.chunk;
+  ended = other110.ended;
+  cancel = other110.cancel;
+  demand = other110.demand;
+  grant = other110.grant;
+  decline = other110.decline;
+  agent_report = other110.agent_report;
+  ledger_report = other110.ledger_report;
+  ledger_totals = other110.ledger_totals;
+  __isset = other110.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other83) noexcept {
-  hello = std::move(other83.hello);
-  proof = std::move(other83.proof);
-  ping = std::move(other83.ping);
-  leaving = std::move(other83.leaving);
-  offer = std::move(other83.offer);
-  queued = std::move(other83.queued);
-  started = std::move(other83.started);
-  head = std::move(other83.head);
-  chunk = std::move(other83.chunk);
-  ended = std::move(other83.ended);
-  cancel = std::move(other83.cancel);
-  demand = std::move(other83.demand);
-  grant = std::move(other83.grant);
-  decline = std::move(other83.decline);
-  agent_report = std::move(other83.agent_report);
-  __isset = other83.__isset;
+Message& Message::operator=(Message&& other111) noexcept {
+  hello = std::move(other111.hello);
+  proof = std::move(other111.proof);
+  ping = std::move(other111.ping);
+  leaving = std::move(other111.leaving);
+  offer = std::move(other111.offer);
+  queued = std::move(other111.queued);
+  started = std::move(other111.started);
+  head = std::move(other111.head);
+  chunk = std::move(other111.chunk);
+  ended = std::move(other111.ended);
+  cancel = std::move(other111.cancel);
+  demand = std::move(other111.demand);
+  grant = std::move(other111.grant);
+  decline = std::move(other111.decline);
+  agent_report = std::move(other111.agent_report);
+  ledger_report = std::move(other111.ledger_report);
+  ledger_totals = std::move(other111.ledger_totals);
+  __isset = other111.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3038,6 +3814,8 @@
   out << ", " << "grant="; (__isset.grant ? (out << to_string(grant)) : (out << "<null>"));
   out << ", " << "decline="; (__isset.decline ? (out << to_string(decline)) : (out << "<null>"));
   out << ", " << "agent_report="; (__isset.agent_report ? (out << to_string(agent_report)) : (out << "<null>"));
+  out << ", " << "ledger_report="; (__isset.ledger_report ? (out << to_string(ledger_report)) : (out << "<null>"));
+  out << ", " << "ledger_totals="; (__isset.ledger_totals ? (out << to_string(ledger_totals)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -55,6 +55,14 @@
 
 class AgentReport;
 
+class LedgerEntry;
+
+class LedgerReport;
+
+class LedgerTotal;
+
+class LedgerTotals;
+
 class Message;
 
 typedef struct _Attempt__isset {
@@ -1074,8 +1082,277 @@
 
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj);
 
+typedef struct _LedgerEntry__isset {
+  _LedgerEntry__isset() : customer(false), given(false), in_flight(false), known(false), backlogged(false), first(false) {}
+  bool customer :1;
+  bool given :1;
+  bool in_flight :1;
+  bool known :1;
+  bool backlogged :1;
+  bool first :1;
+} _LedgerEntry__isset;
+
+class LedgerEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerEntry(const LedgerEntry&) noexcept;
+  LedgerEntry(LedgerEntry&&) noexcept;
+  LedgerEntry& operator=(const LedgerEntry&) noexcept;
+  LedgerEntry& operator=(LedgerEntry&&) noexcept;
+  LedgerEntry() noexcept
+              : customer(0),
+                given(0),
+                in_flight(0),
+                known(0),
+                backlogged(0),
+                first(0) {
+  }
+
+  virtual ~LedgerEntry() noexcept;
+  int64_t customer;
+  double given;
+  double in_flight;
+  double known;
+  bool backlogged;
+  bool first;
+
+  _LedgerEntry__isset __isset;
+
+  void __set_customer(const int64_t val);
+
+  void __set_given(const double val);
+
+  void __set_in_flight(const double val);
+
+  void __set_known(const double val);
+
+  void __set_backlogged(const bool val);
+
+  void __set_first(const bool val);
+
+  bool operator == (const LedgerEntry & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(given == rhs.given))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(known == rhs.known))
+      return false;
+    if (!(backlogged == rhs.backlogged))
+      return false;
+    if (!(first == rhs.first))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerEntry &a, LedgerEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerEntry& obj);
+
+typedef struct _LedgerReport__isset {
+  _LedgerReport__isset() : agent_incarnation(false), number(false), lift(false), floor(false), entries(false) {}
+  bool agent_incarnation :1;
+  bool number :1;
+  bool lift :1;
+  bool floor :1;
+  bool entries :1;
+} _LedgerReport__isset;
+
+class LedgerReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerReport(const LedgerReport&);
+  LedgerReport(LedgerReport&&) noexcept;
+  LedgerReport& operator=(const LedgerReport&);
+  LedgerReport& operator=(LedgerReport&&) noexcept;
+  LedgerReport() noexcept
+               : agent_incarnation(0),
+                 number(0),
+                 lift(0),
+                 floor(0) {
+  }
+
+  virtual ~LedgerReport() noexcept;
+  int64_t agent_incarnation;
+  int64_t number;
+  double lift;
+  double floor;
+  std::vector<LedgerEntry>  entries;
+
+  _LedgerReport__isset __isset;
+
+  void __set_agent_incarnation(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_lift(const double val);
+
+  void __set_floor(const double val);
+
+  void __set_entries(const std::vector<LedgerEntry> & val);
+
+  bool operator == (const LedgerReport & rhs) const
+  {
+    if (!(agent_incarnation == rhs.agent_incarnation))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(lift == rhs.lift))
+      return false;
+    if (!(floor == rhs.floor))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerReport &a, LedgerReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerReport& obj);
+
+typedef struct _LedgerTotal__isset {
+  _LedgerTotal__isset() : customer(false), given(false), in_flight(false), reach(false) {}
+  bool customer :1;
+  bool given :1;
+  bool in_flight :1;
+  bool reach :1;
+} _LedgerTotal__isset;
+
+class LedgerTotal : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerTotal(const LedgerTotal&) noexcept;
+  LedgerTotal(LedgerTotal&&) noexcept;
+  LedgerTotal& operator=(const LedgerTotal&) noexcept;
+  LedgerTotal& operator=(LedgerTotal&&) noexcept;
+  LedgerTotal() noexcept
+              : customer(0),
+                given(0),
+                in_flight(0),
+                reach(0) {
+  }
+
+  virtual ~LedgerTotal() noexcept;
+  int64_t customer;
+  double given;
+  double in_flight;
+  int32_t reach;
+
+  _LedgerTotal__isset __isset;
+
+  void __set_customer(const int64_t val);
+
+  void __set_given(const double val);
+
+  void __set_in_flight(const double val);
+
+  void __set_reach(const int32_t val);
+
+  bool operator == (const LedgerTotal & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(given == rhs.given))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(reach == rhs.reach))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerTotal &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerTotal & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerTotal &a, LedgerTotal &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerTotal& obj);
+
+typedef struct _LedgerTotals__isset {
+  _LedgerTotals__isset() : number(false), totals(false) {}
+  bool number :1;
+  bool totals :1;
+} _LedgerTotals__isset;
+
+class LedgerTotals : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerTotals(const LedgerTotals&);
+  LedgerTotals(LedgerTotals&&) noexcept;
+  LedgerTotals& operator=(const LedgerTotals&);
+  LedgerTotals& operator=(LedgerTotals&&) noexcept;
+  LedgerTotals() noexcept
+               : number(0) {
+  }
+
+  virtual ~LedgerTotals() noexcept;
+  int64_t number;
+  std::vector<LedgerTotal>  totals;
+
+  _LedgerTotals__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_totals(const std::vector<LedgerTotal> & val);
+
+  bool operator == (const LedgerTotals & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(totals == rhs.totals))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerTotals &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerTotals & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerTotals &a, LedgerTotals &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerTotals& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false) {}
+  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false), ledger_report(false), ledger_totals(false) {}
   bool hello :1;
   bool proof :1;
   bool ping :1;
@@ -1091,6 +1368,8 @@
   bool grant :1;
   bool decline :1;
   bool agent_report :1;
+  bool ledger_report :1;
+  bool ledger_totals :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1119,6 +1398,8 @@
   Grant grant;
   Decline decline;
   AgentReport agent_report;
+  LedgerReport ledger_report;
+  LedgerTotals ledger_totals;
 
   _Message__isset __isset;
 
@@ -1152,6 +1433,10 @@
 
   void __set_agent_report(const AgentReport& val);
 
+  void __set_ledger_report(const LedgerReport& val);
+
+  void __set_ledger_totals(const LedgerTotals& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1214,6 +1499,14 @@
       return false;
     else if (__isset.agent_report && !(agent_report == rhs.agent_report))
       return false;
+    if (__isset.ledger_report != rhs.__isset.ledger_report)
+      return false;
+    else if (__isset.ledger_report && !(ledger_report == rhs.ledger_report))
+      return false;
+    if (__isset.ledger_totals != rhs.__isset.ledger_totals)
+      return false;
+    else if (__isset.ledger_totals && !(ledger_totals == rhs.ledger_totals))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -118,6 +118,37 @@
   5: i64 configuration_offset
 }
 
+struct LedgerEntry {
+  1: i64 customer
+  2: double given
+  3: double in_flight
+  4: double known
+  5: bool backlogged
+  6: bool first
+}
+
+// Service of customers at an agent, agent to ledger keeper.
+struct LedgerReport {
+  1: i64 agent_incarnation
+  2: i64 number
+  3: double lift
+  4: double floor
+  5: list<LedgerEntry> entries
+}
+
+struct LedgerTotal {
+  1: i64 customer
+  2: double given
+  3: double in_flight
+  4: i32 reach
+}
+
+// Service of customers over the fleet, ledger keeper to agent.
+struct LedgerTotals {
+  1: i64 number
+  2: list<LedgerTotal> totals
+}
+
 // One frame on a link. Numbers of fields are never used again.
 union Message {
   1: Hello hello
@@ -135,4 +166,6 @@
   13: Grant grant
   14: Decline decline
   15: AgentReport agent_report
+  20: LedgerReport ledger_report
+  21: LedgerTotals ledger_totals
 }
--- a/packages/wire/include/lagoonwind/wire.h
+++ b/packages/wire/include/lagoonwind/wire.h
@@ -42,6 +42,10 @@
 std::vector<policy::Demand> FromWire(const gen::Demand& demand);
 gen::AgentReport ToWire(const policy::AgentReport& report);
 policy::AgentReport FromWire(const gen::AgentReport& report);
+gen::LedgerReport ToWire(const policy::LedgerReport& report);
+policy::LedgerReport FromWire(const gen::LedgerReport& report);
+gen::LedgerTotals ToWire(const policy::LedgerTotals& totals);
+policy::LedgerTotals FromWire(const gen::LedgerTotals& totals);
 /// Values outside the enumeration give kUnknown and kNone.
 policy::AttemptResult ResultFromWire(std::int32_t value);
 policy::Reason ReasonFromWire(std::int32_t value);
--- /dev/null
+++ b/packages/wire/src/ledger_messages.cc
@@ -0,0 +1,83 @@
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+#include "lagoonwind/wire.h"
+
+namespace lagoonwind::wire {
+namespace {
+
+/// Service from the wire: finite and not negative.
+double Service(double value) { return std::isfinite(value) ? std::max(value, 0.0) : 0.0; }
+
+gen::LedgerEntry EntryToWire(const policy::LedgerEntry& entry) {
+  gen::LedgerEntry out;
+  out.customer = static_cast<std::int64_t>(entry.customer.value);
+  out.given = entry.service;
+  out.in_flight = entry.in_flight;
+  out.known = entry.known;
+  out.backlogged = entry.backlogged;
+  out.first = entry.first;
+  return out;
+}
+
+policy::LedgerEntry EntryFromWire(const gen::LedgerEntry& entry) {
+  return policy::LedgerEntry{.customer = {static_cast<std::uint64_t>(entry.customer)},
+                             .service = Service(entry.given),
+                             .in_flight = Service(entry.in_flight),
+                             .known = Service(entry.known),
+                             .backlogged = entry.backlogged,
+                             .first = entry.first};
+}
+
+gen::LedgerTotal TotalToWire(const policy::LedgerTotal& total) {
+  gen::LedgerTotal out;
+  out.customer = static_cast<std::int64_t>(total.customer.value);
+  out.given = total.service;
+  out.in_flight = total.in_flight;
+  out.reach = static_cast<std::int32_t>(total.reach);
+  return out;
+}
+
+policy::LedgerTotal TotalFromWire(const gen::LedgerTotal& total) {
+  return policy::LedgerTotal{.customer = {static_cast<std::uint64_t>(total.customer)},
+                             .service = Service(total.given),
+                             .in_flight = Service(total.in_flight),
+                             .reach = static_cast<std::uint32_t>(std::max(total.reach, 1))};
+}
+
+}  // namespace
+
+gen::LedgerReport ToWire(const policy::LedgerReport& report) {
+  gen::LedgerReport out;
+  out.agent_incarnation = static_cast<std::int64_t>(report.agent.value);
+  out.number = static_cast<std::int64_t>(report.number);
+  out.lift = report.lift;
+  out.floor = report.floor;
+  std::ranges::transform(report.entries, std::back_inserter(out.entries), EntryToWire);
+  return out;
+}
+
+policy::LedgerReport FromWire(const gen::LedgerReport& report) {
+  policy::LedgerReport out{.agent = {static_cast<std::uint64_t>(report.agent_incarnation)},
+                           .number = static_cast<std::uint64_t>(report.number),
+                           .lift = Service(report.lift),
+                           .floor = Service(report.floor)};
+  std::ranges::transform(report.entries, std::back_inserter(out.entries), EntryFromWire);
+  return out;
+}
+
+gen::LedgerTotals ToWire(const policy::LedgerTotals& totals) {
+  gen::LedgerTotals out;
+  out.number = static_cast<std::int64_t>(totals.number);
+  std::ranges::transform(totals.totals, std::back_inserter(out.totals), TotalToWire);
+  return out;
+}
+
+policy::LedgerTotals FromWire(const gen::LedgerTotals& totals) {
+  policy::LedgerTotals out{.number = static_cast<std::uint64_t>(totals.number)};
+  std::ranges::transform(totals.totals, std::back_inserter(out.totals), TotalFromWire);
+  return out;
+}
+
+}  // namespace lagoonwind::wire
