--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "claim_table.h"
+#include "cost_estimator.h"
 #include "lagoonwind/policy.h"
 #include "lagoonwind/rules_history.h"
 
@@ -126,6 +127,20 @@
   std::deque<AttemptId> order_;
 };
 
+/// What an agent knows of a customer's service.
+struct CustomerAccount {
+  /// Expected rest of what runs here and of granted requests, in units of service.
+  double in_flight = 0;
+  /// Fleet-wide service and rest in flight at the last answer of the keeper.
+  LedgerTotal total;
+  /// True once a keeper has answered.
+  bool answered = false;
+  /// Own service and rest in flight that the total includes.
+  double included = 0;
+  /// The part of `included` that was given.
+  double included_service = 0;
+};
+
 struct BackendState {
   bool reachable = false;
   std::uint64_t instance = 0;
@@ -187,6 +202,12 @@
   BackendState backend;
   // Agent: FairShareController. Service per customer, in units of service.
   absl::btree_map<CustomerId, double> service;
+  // Agent: FairShareController (in_flight) and LedgerController (the rest).
+  absl::btree_map<CustomerId, CustomerAccount> accounts;
+  // Agent: LedgerController. Number of answers of keepers so far.
+  std::uint64_t ledger_round = 0;
+  // Agent: FairShareController.
+  CostEstimator costs;
 
   // Every controller.
   DecisionRing decisions;
@@ -202,6 +223,8 @@
   [[nodiscard]] std::uint32_t Room() const;
   /// True if this agent's backend server runs the target under the current rules.
   [[nodiscard]] bool Serves(TargetId target) const;
+  /// Service that this agent gave to a customer since it started.
+  [[nodiscard]] double OwnService(CustomerId customer) const;
   void Record(Decision decision);
 };
 
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -29,10 +29,11 @@
   return list;
 }
 
-ControllerList AgentControllers() {
+ControllerList AgentControllers(const Init& init) {
   ControllerList list;
   AddCommonControllers(list);
-  list.push_back(MakeWarmUpController());
+  list.push_back(init.fixed_window > 0 ? MakeFixedWindowController() : MakeWarmUpController());
+  list.push_back(MakeLedgerController());
   list.push_back(MakeFairShareController());
   list.push_back(MakeClaimsController());
   list.push_back(MakeAdmissionController());
@@ -120,7 +121,7 @@
 
 std::unique_ptr<Policy> MakePolicy(const Init& init) {
   return std::make_unique<BlackboardPolicy>(
-      init, init.role == Role::kEntry ? EntryControllers() : AgentControllers());
+      init, init.role == Role::kEntry ? EntryControllers() : AgentControllers(init));
 }
 
 }  // namespace lagoonwind::policy
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -3528,6 +3528,736 @@
 }
 
 
+LedgerEntry::~LedgerEntry() noexcept {
+}
+
+
+void LedgerEntry::__set_customer(const int64_t val) {
+  this->customer = val;
+}
+
+void LedgerEntry::__set_given(const double val) {
+  this->given = val;
+}
+
+void LedgerEntry::__set_in_flight(const double val) {
+  this->in_flight = val;
+}
+
+void LedgerEntry::__set_known(const double val) {
+  this->known = val;
+}
+
+void LedgerEntry::__set_backlogged(const bool val) {
+  this->backlogged = val;
+}
+
+void LedgerEntry::__set_first(const bool val) {
+  this->first = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->given);
+          this->__isset.given = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->known);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->backlogged);
+          this->__isset.backlogged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerEntry");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("given", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->given);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backlogged", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->backlogged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerEntry &a, LedgerEntry &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.given, b.given);
+  swap(a.in_flight, b.in_flight);
+  swap(a.known, b.known);
+  swap(a.backlogged, b.backlogged);
+  swap(a.first, b.first);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerEntry::LedgerEntry(const LedgerEntry& other100) noexcept {
+  customer = other100.customer;
+  given = other100.given;
+  in_flight = other100.in_flight;
+  known = other100.known;
+  backlogged = other100.backlogged;
+  first = other100.first;
+  __isset = other100.__isset;
+}
+LedgerEntry::LedgerEntry(LedgerEntry&& other101) noexcept {
+  customer = other101.customer;
+  given = other101.given;
+  in_flight = other101.in_flight;
+  known = other101.known;
+  backlogged = other101.backlogged;
+  first = other101.first;
+  __isset = other101.__isset;
+}
+LedgerEntry& LedgerEntry::operator=(const LedgerEntry& other102) noexcept {
+  customer = other102.customer;
+  given = other102.given;
+  in_flight = other102.in_flight;
+  known = other102.known;
+  backlogged = other102.backlogged;
+  first = other102.first;
+  __isset = other102.__isset;
+  return *this;
+}
+LedgerEntry& LedgerEntry::operator=(LedgerEntry&& other103) noexcept {
+  customer = other103.customer;
+  given = other103.given;
+  in_flight = other103.in_flight;
+  known = other103.known;
+  backlogged = other103.backlogged;
+  first = other103.first;
+  __isset = other103.__isset;
+  return *this;
+}
+void LedgerEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerEntry(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "given=" << to_string(given);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "known=" << to_string(known);
+  out << ", " << "backlogged=" << to_string(backlogged);
+  out << ", " << "first=" << to_string(first);
+  out << ")";
+}
+
+
+LedgerReport::~LedgerReport() noexcept {
+}
+
+
+void LedgerReport::__set_agent_incarnation(const int64_t val) {
+  this->agent_incarnation = val;
+}
+
+void LedgerReport::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LedgerReport::__set_lift(const double val) {
+  this->lift = val;
+}
+
+void LedgerReport::__set_floor(const double val) {
+  this->floor = val;
+}
+
+void LedgerReport::__set_entries(const std::vector<LedgerEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agent_incarnation);
+          this->__isset.agent_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->lift);
+          this->__isset.lift = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->floor);
+          this->__isset.floor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->entries.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
+            {
+              xfer += this->entries[_i108].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerReport");
+
+  xfer += oprot->writeFieldBegin("agent_incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->agent_incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lift", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->lift);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floor", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->floor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LedgerEntry> ::const_iterator _iter109;
+    for (_iter109 = this->entries.begin(); _iter109 != this->entries.end(); ++_iter109)
+    {
+      xfer += (*_iter109).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerReport &a, LedgerReport &b) {
+  using ::std::swap;
+  swap(a.agent_incarnation, b.agent_incarnation);
+  swap(a.number, b.number);
+  swap(a.lift, b.lift);
+  swap(a.floor, b.floor);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerReport::LedgerReport(const LedgerReport& other110) {
+  agent_incarnation = other110.agent_incarnation;
+  number = other110.number;
+  lift = other110.lift;
+  floor = other110.floor;
+  entries = other110.entries;
+  __isset = other110.__isset;
+}
+LedgerReport::LedgerReport(LedgerReport&& other111) noexcept {
+  agent_incarnation = other111.agent_incarnation;
+  number = other111.number;
+  lift = other111.lift;
+  floor = other111.floor;
+  entries = std::move(other111.entries);
+  __isset = other111.__isset;
+}
+LedgerReport& LedgerReport::operator=(const LedgerReport& other112) {
+  agent_incarnation = other112.agent_incarnation;
+  number = other112.number;
+  lift = other112.lift;
+  floor = other112.floor;
+  entries = other112.entries;
+  __isset = other112.__isset;
+  return *this;
+}
+LedgerReport& LedgerReport::operator=(LedgerReport&& other113) noexcept {
+  agent_incarnation = other113.agent_incarnation;
+  number = other113.number;
+  lift = other113.lift;
+  floor = other113.floor;
+  entries = std::move(other113.entries);
+  __isset = other113.__isset;
+  return *this;
+}
+void LedgerReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerReport(";
+  out << "agent_incarnation=" << to_string(agent_incarnation);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "lift=" << to_string(lift);
+  out << ", " << "floor=" << to_string(floor);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+LedgerTotal::~LedgerTotal() noexcept {
+}
+
+
+void LedgerTotal::__set_customer(const int64_t val) {
+  this->customer = val;
+}
+
+void LedgerTotal::__set_given(const double val) {
+  this->given = val;
+}
+
+void LedgerTotal::__set_in_flight(const double val) {
+  this->in_flight = val;
+}
+
+void LedgerTotal::__set_reach(const int32_t val) {
+  this->reach = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerTotal& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerTotal::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->given);
+          this->__isset.given = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reach);
+          this->__isset.reach = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerTotal::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerTotal");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("given", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->given);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reach", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->reach);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerTotal &a, LedgerTotal &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.given, b.given);
+  swap(a.in_flight, b.in_flight);
+  swap(a.reach, b.reach);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerTotal::LedgerTotal(const LedgerTotal& other114) noexcept {
+  customer = other114.customer;
+  given = other114.given;
+  in_flight = other114.in_flight;
+  reach = other114.reach;
+  __isset = other114.__isset;
+}
+LedgerTotal::LedgerTotal(LedgerTotal&& other115) noexcept {
+  customer = other115.customer;
+  given = other115.given;
+  in_flight = other115.in_flight;
+  reach = other115.reach;
+  __isset = other115.__isset;
+}
+LedgerTotal& LedgerTotal::operator=(const LedgerTotal& other116) noexcept {
+  customer = other116.customer;
+  given = other116.given;
+  in_flight = other116.in_flight;
+  reach = other116.reach;
+  __isset = other116.__isset;
+  return *this;
+}
+LedgerTotal& LedgerTotal::operator=(LedgerTotal&& other117) noexcept {
+  customer = other117.customer;
+  given = other117.given;
+  in_flight = other117.in_flight;
+  reach = other117.reach;
+  __isset = other117.__isset;
+  return *this;
+}
+void LedgerTotal::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerTotal(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "given=" << to_string(given);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "reach=" << to_string(reach);
+  out << ")";
+}
+
+
+LedgerTotals::~LedgerTotals() noexcept {
+}
+
+
+void LedgerTotals::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LedgerTotals::__set_totals(const std::vector<LedgerTotal> & val) {
+  this->totals = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerTotals& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerTotals::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->totals.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->totals.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              xfer += this->totals[_i122].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.totals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerTotals::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerTotals");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("totals", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->totals.size()));
+    std::vector<LedgerTotal> ::const_iterator _iter123;
+    for (_iter123 = this->totals.begin(); _iter123 != this->totals.end(); ++_iter123)
+    {
+      xfer += (*_iter123).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerTotals &a, LedgerTotals &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.totals, b.totals);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerTotals::LedgerTotals(const LedgerTotals& other124) {
+  number = other124.number;
+  totals = other124.totals;
+  __isset = other124.__isset;
+}
+LedgerTotals::LedgerTotals(LedgerTotals&& other125) noexcept {
+  number = other125.number;
+  totals = std::move(other125.totals);
+  __isset = other125.__isset;
+}
+LedgerTotals& LedgerTotals::operator=(const LedgerTotals& other126) {
+  number = other126.number;
+  totals = other126.totals;
+  __isset = other126.__isset;
+  return *this;
+}
+LedgerTotals& LedgerTotals::operator=(LedgerTotals&& other127) noexcept {
+  number = other127.number;
+  totals = std::move(other127.totals);
+  __isset = other127.__isset;
+  return *this;
+}
+void LedgerTotals::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerTotals(";
+  out << "number=" << to_string(number);
+  out << ", " << "totals=" << to_string(totals);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -3626,6 +4356,16 @@
   this->credit = val;
 __isset.credit = true;
 }
+
+void Message::__set_ledger_report(const LedgerReport& val) {
+  this->ledger_report = val;
+__isset.ledger_report = true;
+}
+
+void Message::__set_ledger_totals(const LedgerTotals& val) {
+  this->ledger_totals = val;
+__isset.ledger_totals = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -3806,6 +4546,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ledger_report.read(iprot);
+          this->__isset.ledger_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ledger_totals.read(iprot);
+          this->__isset.ledger_totals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3898,6 +4654,16 @@
     xfer += this->agent_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.ledger_report) {
+    xfer += oprot->writeFieldBegin("ledger_report", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->ledger_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ledger_totals) {
+    xfer += oprot->writeFieldBegin("ledger_totals", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->ledger_totals.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.claim) {
     xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 40);
     xfer += this->claim.write(oprot);
@@ -3944,97 +4710,107 @@
   swap(a.configuration_text, b.configuration_text);
   swap(a.claim, b.claim);
   swap(a.credit, b.credit);
+  swap(a.ledger_report, b.ledger_report);
+  swap(a.ledger_totals, b.ledger_totals);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other100) {
-  hello = other100.hello;
-  proof = other100.proof;
-  ping = other100.ping;
-  leaving = other100.leaving;
-  offer = other100.offer;
-  queued = other100.queued;
-  started = other100.started;
-  head = other100.head;
-  chunk = other100.chunk;
-  ended = other100.ended;
-  cancel = other100.cancel;
-  demand = other100.demand;
-  grant = other100.grant;
-  decline = other100.decline;
-  agent_report = other100.agent_report;
-  configuration_request = other100.configuration_request;
-  configuration_text = other100.configuration_text;
-  claim = other100.claim;
-  credit = other100.credit;
-  __isset = other100.__isset;
-}
-Message::Message(Message&& other101) noexcept {
-  hello = std::move(other101.hello);
-  proof = std::move(other101.proof);
-  ping = std::move(other101.ping);
-  leaving = std::move(other101.leaving);
-  offer = std::move(other101.offer);
-  queued = std::move(other101.queued);
-  started = std::move(other101.started);
-  head = std::move(other101.head);
-  chunk = std::move(other101.chunk);
-  ended = std::move(other101.ended);
-  cancel = std::move(other101.cancel);
-  demand = std::move(other101.demand);
-  grant = std::move(other101.grant);
-  decline = std::move(other101.decline);
-  agent_report = std::move(other101.agent_report);
-  configuration_request = std::move(other101.configuration_request);
-  configuration_text = std::move(other101.configuration_text);
-  claim = std::move(other101.claim);
-  credit = std::move(other101.credit);
-  __isset = other101.__isset;
-}
-Message& Message::operator=(const Message& other102) {
-  hello = other102.hello;
-  proof = other102.proof;
-  ping = other102.ping;
-  leaving = other102.leaving;
-  offer = other102.offer;
-  queued = other102.queued;
-  started = other102.started;
-  head = other102.head;
-  chunk = other102.chunk;
-  ended = other102.ended;
-  cancel = other102.cancel;
-  demand = other102.demand;
-  grant = other102.grant;
-  decline = other102.decline;
-  agent_report = other102.agent_report;
-  configuration_request = other102.configuration_request;
-  configuration_text = other102.configuration_text;
-  claim = other102.claim;
-  credit = other102.credit;
-  __isset = other102.__isset;
+Message::Message(const Message& other128) {
+  hello = other128.hello;
+  proof = other128.proof;
+  ping = other128.ping;
+  leaving = other128.leaving;
+  offer = other128.offer;
+  queued = other128.queued;
+  started = other128.started;
+  head = other128.head;
+  chunk = other128.chunk;
+  ended = other128.ended;
+  cancel = other128.cancel;
+  demand = other128.demand;
+  grant = other128.grant;
+  decline = other128.decline;
+  agent_report = other128.agent_report;
+  configuration_request = other128.configuration_request;
+  configuration_text = other128.configuration_text;
+  claim = other128.claim;
+  credit = other128.credit;
+  ledger_report = other128.ledger_report;
+  ledger_totals = other128.ledger_totals;
+  __isset = other128.__isset;
+}
+Message::Message(Message&& other129) noexcept {
+  hello = std::move(other129.hello);
+  proof = std::move(other129.proof);
+  ping = std::move(other129.ping);
+  leaving = std::move(other129.leaving);
+  offer = std::move(other129.offer);
+  queued = std::move(other129.queued);
+  started = std::move(other129.started);
+  head = std::move(other129.head);
+  chunk = std::move(other129.chunk);
+  ended = std::move(other129.ended);
+  cancel = std::move(other129.cancel);
+  demand = std::move(other129.demand);
+  grant = std::move(other129.grant);
+  decline = std::move(other129.decline);
+  agent_report = std::move(other129.agent_report);
+  configuration_request = std::move(other129.configuration_request);
+  configuration_text = std::move(other129.configuration_text);
+  claim = std::move(other129.claim);
+  credit = std::move(other129.credit);
+  ledger_report = std::move(other129.ledger_report);
+  ledger_totals = std::move(other129.ledger_totals);
+  __isset = other129.__isset;
+}
+Message& Message::operator=(const Message& other130) {
+  hello = other130.hello;
+  proof = other130.proof;
+  ping = other130.ping;
+  leaving = other130.leaving;
+  offer = other130.offer;
+  queued = other130.queued;
+  started = other130.started;
+  head = other130.head;
+  chunk = other130.chunk;
+  ended = other130.ended;
+  cancel = other130.cancel;
+  demand = other130.demand;
+  grant = other130.grant;
+  decline = other130.decline;
+  agent_report = other130.agent_report;
+  configuration_request = other130.configuration_request;
+  configuration_text = other130.configuration_text;
+  claim = other130.claim;
+  credit = other130.credit;
+  ledger_report = other130.ledger_report;
+  ledger_totals = other130.ledger_totals;
+  __isset = other130.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other103) noexcept {
-  hello = std::move(other103.hello);
-  proof = std::move(other103.proof);
-  ping = std::move(other103.ping);
-  leaving = std::move(other103.leaving);
-  offer = std::move(other103.offer);
-  queued = std::move(other103.queued);
-  started = std::move(other103.started);
-  head = std::move(other103.head);
-  chunk = std::move(other103.chunk);
-  ended = std::move(other103.ended);
-  cancel = std::move(other103.cancel);
-  demand = std::move(other103.demand);
-  grant = std::move(other103.grant);
-  decline = std::move(other103.decline);
-  agent_report = std::move(other103.agent_report);
-  configuration_request = std::move(other103.configuration_request);
-  configuration_text = std::move(other103.configuration_text);
-  claim = std::move(other103.claim);
-  credit = std::move(other103.credit);
-  __isset = other103.__isset;
+Message& Message::operator=(Message&& other131) noexcept {
+  hello = std::move(other131.hello);
+  proof = std::move(other131.proof);
+  ping = std::move(other131.ping);
+  leaving = std::move(other131.leaving);
+  offer = std::move(other131.offer);
+  queued = std::move(other131.queued);
+  started = std::move(other131.started);
+  head = std::move(other131.head);
+  chunk = std::move(other131.chunk);
+  ended = std::move(other131.ended);
+  cancel = std::move(other131.cancel);
+  demand = std::move(other131.demand);
+  grant = std::move(other131.grant);
+  decline = std::move(other131.decline);
+  agent_report = std::move(other131.agent_report);
+  configuration_request = std::move(other131.configuration_request);
+  configuration_text = std::move(other131.configuration_text);
+  claim = std::move(other131.claim);
+  credit = std::move(other131.credit);
+  ledger_report = std::move(other131.ledger_report);
+  ledger_totals = std::move(other131.ledger_totals);
+  __isset = other131.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -4059,6 +4835,8 @@
   out << ", " << "configuration_text="; (__isset.configuration_text ? (out << to_string(configuration_text)) : (out << "<null>"));
   out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
   out << ", " << "credit="; (__isset.credit ? (out << to_string(credit)) : (out << "<null>"));
+  out << ", " << "ledger_report="; (__isset.ledger_report ? (out << to_string(ledger_report)) : (out << "<null>"));
+  out << ", " << "ledger_totals="; (__isset.ledger_totals ? (out << to_string(ledger_totals)) : (out << "<null>"));
   out << ")";
 }
 
