--- a/apps/lagoonctl/rules_commands.cc
+++ b/apps/lagoonctl/rules_commands.cc
@@ -8,6 +8,7 @@
 
 #include "commands.h"
 #include "lagoonwind/rules.h"
+#include "lagoonwind/rules_diff.h"
 
 namespace lagoonwind::ctl {
 namespace {
@@ -66,25 +67,6 @@
   return kExitRefused;
 }
 
-/// Rules of a text without comments of their own and blank lines.
-std::vector<std::string> RuleLines(const std::string& text) {
-  std::vector<std::string> lines;
-  std::istringstream in(text);
-  for (std::string line; std::getline(in, line);) {
-    if (!line.empty() && !line.starts_with('#')) {
-      lines.push_back(line);
-    }
-  }
-  std::ranges::sort(lines);
-  return lines;
-}
-
-json LinesOnlyIn(const std::vector<std::string>& some, const std::vector<std::string>& others) {
-  std::vector<std::string> only;
-  std::ranges::set_difference(some, others, std::back_inserter(only));
-  return only;
-}
-
 std::string VerdictInWords(const std::string& verdict) {
   if (verdict == "accepted") {
     return "accepted";
@@ -122,23 +104,19 @@
   if (!in_force.ok()) {
     return Unreachable(in_force.status());
   }
-  const auto before = RuleLines(in_force->at("text"));
-  const auto after = RuleLines(*text);
-  const json removed = LinesOnlyIn(before, after);
-  const json added = LinesOnlyIn(after, before);
+  const std::string before = in_force->at("text");
+  const auto changes = DiffRules(ParseRules(before).configuration, ParseRules(*text).configuration);
   if (common.output == Output::kJson) {
-    const json diff{{"offset", in_force->at("offset")}, {"removed", removed}, {"added", added}};
+    json rows = json::array();
+    for (const auto& change : changes) {
+      rows.push_back({{"rule", change.key}, {"before", change.before}, {"after", change.after}});
+    }
+    const json diff{{"offset", in_force->at("offset")}, {"changes", std::move(rows)}};
     std::cout << diff.dump(2) << "\n";
     return kExitDone;
   }
-  for (const auto& line : removed) {
-    std::cout << "- " << line.get<std::string>() << "\n";
-  }
-  for (const auto& line : added) {
-    std::cout << "+ " << line.get<std::string>() << "\n";
-  }
-  std::cout << removed.size() << " rules removed, " << added.size()
-            << " added against the rules in force at offset " << in_force->at("offset") << "\n";
+  std::cout << FormatRuleChanges(changes) << changes.size()
+            << " rules differ from those in force at offset " << in_force->at("offset") << "\n";
   return kExitDone;
 }
 
