--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -68,7 +68,9 @@
 /// Time that a fresh reader waits for another's snapshot, and that readers wait for each other.
 inline constexpr seconds kSnapshotDelay{30};
 /// Records of the configuration stream after which a snapshot is due.
-inline constexpr std::int64_t kSnapshotRecords = 64;
+inline constexpr std::int64_t kSnapshotRecords = 16;
+/// Newest records of the configuration stream that a fresh daemon looks for a snapshot in first.
+inline constexpr std::int64_t kSnapshotWindow = 32;
 /// Time that one call to the platform may take.
 inline constexpr milliseconds kPlatformTimeout{2000};
 
--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -134,6 +134,7 @@
 
   // ConfigurationController.
   std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+  /// Begun anew by LogReaderController.
   RulesHistory rules;
   /// Configurations in force before, newest last.
   std::vector<std::shared_ptr<const Configuration>> former;
--- a/packages/policy/src/configuration_controller.cc
+++ b/packages/policy/src/configuration_controller.cc
@@ -47,7 +47,7 @@
     if (!read.ok) {
       return;
     }
-    board.rules.NoteOldest(read.first_offset);
+    board.rules.NoteOldest(read.records.empty() ? read.first_offset : read.records.front().offset);
     for (const auto& record : read.records) {
       if (record.offset >= board.rules.next()) {
         board.rules.Replay(record.offset, record.data);
--- a/packages/policy/src/log_reader_controller.cc
+++ b/packages/policy/src/log_reader_controller.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 #include "controller.h"
 #include "lagoonwind/limits.h"
@@ -8,6 +10,8 @@
 
 /// Separates the choice of readers from other uses of rendezvous hashing.
 constexpr std::uint64_t kReaderSalt = 0x726561646572;
+/// Reads no record, only where the stream begins and ends.
+constexpr std::int64_t kEndOfStream = std::numeric_limits<std::int64_t>::max();
 
 /// Decides whether this process follows the stream of rules, when it reads, and when it appends a
 /// snapshot. Readers are the first few members by rendezvous hashing; while nobody is known to
@@ -17,6 +21,7 @@
   void OnEvent(const Event& event, Blackboard& board, ActionList& /*actions*/) override {
     if (const auto* read = std::get_if<RulesRead>(&event)) {
       OnRead(*read, board);
+      SkipOldRecords(*read, board);
     }
   }
 
@@ -40,7 +45,7 @@
     if (answered && board.now >= next_read_) {
       waiting_ = true;
       board.log.read_began = board.now;
-      actions.Add(ReadRules{.from = board.rules.next()});
+      actions.Add(ReadRules{.from = ReadFrom(board)});
     }
     if (SnapshotDue(rank, board)) {
       snapshot_at_ = board.now;
@@ -69,6 +74,30 @@
     }
   }
 
+  [[nodiscard]] std::int64_t ReadFrom(const Blackboard& board) const {
+    return end_known_ || board.rules.next() > 0 ? std::max(board.rules.next(), skip_to_)
+                                                : kEndOfStream;
+  }
+
+  /// A fresh process starts from a snapshot among the newest records, and reads the whole stream
+  /// only if there is none.
+  void SkipOldRecords(const RulesRead& read, Blackboard& board) {
+    if (!read.ok) {
+      return;
+    }
+    const bool first_read = !std::exchange(end_known_, true);
+    if (first_read && board.configuration->offset < 0) {
+      skip_to_ = read.next_offset - limits::kSnapshotWindow;
+    }
+    const bool in_vain = !board.rules.decided() && skip_to_ > read.first_offset && !first_read &&
+                         board.rules.next() >= read.next_offset;
+    if (in_vain && board.configuration->offset < 0) {
+      skip_to_ = 0;
+      board.rules = RulesHistory();
+      next_read_ = board.now;
+    }
+  }
+
   static std::uint64_t Score(MemberId member) { return MixHash(member.value, kReaderSalt); }
 
   /// Number of live members that come before this one.
@@ -137,6 +166,9 @@
   bool waiting_ = false;
   Time next_read_;
   Duration retry_delay_ = limits::kConfigurationPollInterval;
+  bool end_known_ = false;
+  /// Records before this offset are left out.
+  std::int64_t skip_to_ = 0;
   std::int64_t first_offset_ = 0;
   std::int64_t next_offset_ = -1;
   /// Offset of the newest snapshot seen, and when it was seen or last appended.
--- a/tests/proofs/restart_test.cc
+++ b/tests/proofs/restart_test.cc
@@ -84,6 +84,28 @@
   CHECK(Converges(fleet, offset));
 }
 
+TEST_CASE("a fresh fleet reads the newest records, and the whole stream only without a snapshot") {
+  for (const bool snapshots : {true, false}) {
+    VirtualFleet fleet({});
+    REQUIRE(Converges(fleet, 0));
+    for (int i = 0; i < 30; ++i) {
+      fleet.log().records.insert(fleet.log().records.end(), 10, "refused");
+      fleet.log().down = !snapshots;
+      fleet.Run(seconds(5));
+    }
+    fleet.log().down = false;
+    for (int i = 0; i < fleet.size(); ++i) {
+      fleet.Kill(i);
+    }
+    fleet.log().records_read = 0;
+    for (int i = 0; i < fleet.size(); ++i) {
+      fleet.Restart(i);
+    }
+    CHECK(Converges(fleet, 0));
+    CHECK((fleet.log().records_read < 9UL * 33UL) == snapshots);
+  }
+}
+
 TEST_CASE("random faults: no process goes back, and the healed fleet has the last rules") {
   for (unsigned seed = 1; seed <= 12; ++seed) {
     std::mt19937 random(seed);
--- a/tests/support/virtual_fleet.cc
+++ b/tests/support/virtual_fleet.cc
@@ -253,6 +253,7 @@
           {.offset = offset, .data = log_.records[static_cast<std::size_t>(offset)]});
     }
   }
+  log_.records_read += event.records.size();
   process.inbox.push_back({.at = now_ + delay, .event = std::move(event)});
 }
 
--- a/tests/support/virtual_fleet.h
+++ b/tests/support/virtual_fleet.h
@@ -31,6 +31,7 @@
   bool down = false;
   std::uint64_t reads = 0;
   std::uint64_t appends = 0;
+  std::uint64_t records_read = 0;
 };
 
 /// Processes are numbered: entries first, then agents; process i is in zone i % zones. Not thread
--- a/tools/spread_experiment.cc
+++ b/tools/spread_experiment.cc
@@ -52,6 +52,20 @@
   return bytes;
 }
 
+/// Time until every process of the first zone takes no new work, from its cut on.
+Duration CutOff(VirtualFleet& fleet) {
+  fleet.CutZone(0, true);
+  const auto closed = [&] {
+    for (int i = 0; i < fleet.size(); ++i) {
+      if (fleet.zone(i) == 0 && fleet.stats(i).closed == lagoonwind::policy::Reason::kNone) {
+        return false;
+      }
+    }
+    return true;
+  };
+  return fleet.RunUntil(closed, seconds(60));
+}
+
 void Measure(const Size& size) {
   const int customers = kCustomersPerAgent * size.agents;
   VirtualFleet fleet(VirtualFleetOptions{.entries = size.entries,
@@ -82,10 +96,16 @@
     change_bytes = std::max(change_bytes, MostBytes(fleet, before));
     fleet.Run(milliseconds(2110));
   }
-  std::printf("%d,%d,%d,%.0f,%.0f,%.0f,%llu,%llu,%.1f,%llu\n", fleet.size(), customers, size.links,
-              Milliseconds(cold), Milliseconds(slowest), Milliseconds(last_work),
-              static_cast<unsigned long long>(idle), static_cast<unsigned long long>(change_bytes),
-              reads_a_second, static_cast<unsigned long long>(fleet.log().appends));
+  // The changes end with the zone out; bring it in before it is cut off.
+  const auto in = fleet.Apply(RulesOf(customers, 0));
+  fleet.RunUntil([&] { return fleet.InForce(in); }, seconds(60));
+  fleet.Run(seconds(2));
+  const Duration cut_off = CutOff(fleet);
+  std::printf("%d,%d,%d,%.0f,%.0f,%.0f,%.0f,%llu,%llu,%.1f,%llu\n", fleet.size(), customers,
+              size.links, Milliseconds(cold), Milliseconds(slowest), Milliseconds(last_work),
+              Milliseconds(cut_off), static_cast<unsigned long long>(idle),
+              static_cast<unsigned long long>(change_bytes), reads_a_second,
+              static_cast<unsigned long long>(fleet.log().appends));
   std::fflush(stdout);
 }
 
@@ -93,7 +113,8 @@
 
 int main() {
   std::puts(
-      "processes,customers,links_of_entry,cold_start_ms,in_force_ms,zone_out_last_work_ms,"
+      "processes,customers,links_of_entry,cold_start_ms,in_force_ms,zone_out_last_work_ms,cut_off_"
+      "last_work_ms,"
       "idle_bytes_per_s,bytes_in_change,log_reads_per_s,log_appends");
   for (const Size& size : {Size{2, 5, 3, 0}, Size{8, 12, 3, 0}, Size{40, 60, 6, 20},
                            Size{160, 240, 6, 20}, Size{410, 600, 6, 20}}) {
