--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -21,6 +21,8 @@
 inline constexpr std::uint32_t kMaxHeaderBytes = 16U << 10U;
 /// Largest number of callers' connections that one entry holds.
 inline constexpr std::size_t kMaxCallerConnections = 8192;
+/// Largest number of connections that an operators' port holds.
+inline constexpr std::size_t kMaxServedConnections = 1024;
 /// Time that a caller has to send one whole request.
 inline constexpr seconds kCallerReadTimeout{30};
 /// Time without progress after which a write to a caller is given up.
@@ -134,4 +136,34 @@
 /// Time for which a window stays at the load at which its backend server refused more.
 inline constexpr seconds kRefusalTime{5};
 
+// Claims of calls that may run once.
+
+/// Number of log streams that claims are split over by the hash of their key.
+inline constexpr std::uint32_t kClaimStreams = 8;
+/// Time from an offer to the start of its run within which a claim must be settled.
+inline constexpr milliseconds kClaimTimeout{3000};
+/// Interval between tries to append a release or a completion, or to read a stream at the start.
+inline constexpr milliseconds kClaimRetryInterval{500};
+/// Largest number of claim records in one append.
+inline constexpr std::size_t kMaxClaimBatch = 256;
+/// Largest number of releases and completions that wait for the log; the oldest are dropped.
+inline constexpr std::size_t kMaxClaimOutbox = 4096;
+/// Largest answer that is kept for calls with the same key, in bytes.
+inline constexpr std::size_t kMaxKeptAnswerBytes = 16U << 10U;
+/// Largest number of kept answers in each stream.
+inline constexpr std::size_t kMaxKeptAnswers = 256;
+/// Time that a finished answer is kept.
+inline constexpr seconds kKeptAnswerTime{600};
+/// Time in which an idempotency key is remembered unless its target's rule says otherwise.
+inline constexpr seconds kDefaultKeyWindow{24 * 3600};
+/// Time beyond the window that claims are remembered; covers clock skew and waiting at entries.
+inline constexpr seconds kClaimGrace{300};
+/// Number of attempts that an agent remembers, so that an offer is taken once.
+inline constexpr std::size_t kMaxSeenOffers = 16384;
+
+// Metrics.
+
+/// Number of customers that have series of their own; the rest share the series `other`.
+inline constexpr std::size_t kMaxCustomerSeries = 200;
+
 }  // namespace lagoonwind::limits
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -34,6 +34,7 @@
   AddCommonControllers(list);
   list.push_back(MakeWarmUpController());
   list.push_back(MakeFairShareController());
+  list.push_back(MakeClaimsController());
   list.push_back(MakeAdmissionController());
   list.push_back(MakeReportController());
   return list;
@@ -78,7 +79,8 @@
 
   [[nodiscard]] std::vector<Decision> Explain(RequestId request, CustomerId customer,
                                               MemberId member) const override {
-    return board_.decisions.About(request, customer, member);
+    return member == board_.self ? board_.decisions.All()
+                                 : board_.decisions.About(request, customer, member);
   }
 
  private:
--- a/tests/proofs/restart_test.cc
+++ b/tests/proofs/restart_test.cc
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include "virtual_fleet.h"
+#include "spread_fleet.h"
 
 namespace lagoonwind::testing {
 namespace {
@@ -16,12 +16,12 @@
 }
 
 /// Runs until the fleet has the configuration; false if it never did.
-bool Converges(VirtualFleet& fleet, std::int64_t offset) {
+bool Converges(SpreadFleet& fleet, std::int64_t offset) {
   return fleet.RunUntil([&] { return fleet.InForce(offset); }, minutes(2)) < seconds(19);
 }
 
 TEST_CASE("restarted processes take the rules from peers while the log is down") {
-  VirtualFleet fleet({});
+  SpreadFleet fleet({});
   REQUIRE(Converges(fleet, 0));
   const auto offset = fleet.Apply(Rules(1));
   REQUIRE(Converges(fleet, offset));
@@ -34,7 +34,7 @@
 }
 
 TEST_CASE("a fleet that restarts whole while the log is down waits for it") {
-  VirtualFleet fleet({});
+  SpreadFleet fleet({});
   REQUIRE(Converges(fleet, 0));
   fleet.log().down = true;
   for (int i = 0; i < fleet.size(); ++i) {
@@ -48,7 +48,7 @@
 
 TEST_CASE("readers that die or lose the log are replaced, and new rules come into force in time") {
   for (const bool die : {true, false}) {
-    VirtualFleet fleet({.entries = 10, .agents = 20, .links = 8});
+    SpreadFleet fleet({.entries = 10, .agents = 20, .links = 8});
     REQUIRE(Converges(fleet, 0));
     fleet.Run(seconds(40));
     int lost = 0;
@@ -64,7 +64,7 @@
 }
 
 TEST_CASE("snapshots keep the rules through a log that forgets, and a fresh fleet finds them") {
-  VirtualFleet fleet({});
+  SpreadFleet fleet({});
   REQUIRE(Converges(fleet, 0));
   const auto offset = fleet.Apply(Rules(1));
   for (int i = 0; i < 12; ++i) {
@@ -86,7 +86,7 @@
 
 TEST_CASE("a fresh fleet reads the newest records, and the whole stream only without a snapshot") {
   for (const bool snapshots : {true, false}) {
-    VirtualFleet fleet({});
+    SpreadFleet fleet({});
     REQUIRE(Converges(fleet, 0));
     for (int i = 0; i < 30; ++i) {
       fleet.log().records.insert(fleet.log().records.end(), 10, "refused");
@@ -109,7 +109,7 @@
 TEST_CASE("random faults: no process goes back, and the healed fleet has the last rules") {
   for (unsigned seed = 1; seed <= 12; ++seed) {
     std::mt19937 random(seed);
-    VirtualFleet fleet({.entries = 4, .agents = 8, .links = 5});
+    SpreadFleet fleet({.entries = 4, .agents = 8, .links = 5});
     std::int64_t offset = 0;
     for (int round = 0; round < 60; ++round) {
       const int i = static_cast<int>(random() % 12);
--- a/tests/proofs/zone_test.cc
+++ b/tests/proofs/zone_test.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "virtual_fleet.h"
+#include "spread_fleet.h"
 
 namespace lagoonwind::policy {
 namespace {
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
-using testing::VirtualFleet;
+using testing::SpreadFleet;
 
 constexpr int kZones = 3;
 constexpr seconds kZoneOutTarget{3};
@@ -19,7 +19,7 @@
 constexpr std::string_view kIn = "zone z0 in # asked by: test\n";
 constexpr std::string_view kOut = "zone z0 out # asked by: night shift, storm\n";
 
-int Closed(const VirtualFleet& fleet, int zone, Reason reason) {
+int Closed(const SpreadFleet& fleet, int zone, Reason reason) {
   int count = 0;
   for (int i = 0; i < fleet.size(); ++i) {
     count += fleet.zone(i) == zone && fleet.alive(i) && fleet.stats(i).closed == reason ? 1 : 0;
@@ -27,13 +27,13 @@
   return count;
 }
 
-int AllClosed(const VirtualFleet& fleet, Reason reason) {
+int AllClosed(const SpreadFleet& fleet, Reason reason) {
   return Closed(fleet, 0, reason) + Closed(fleet, 1, reason) + Closed(fleet, 2, reason);
 }
 
 /// A fleet of three zones, three processes each, with the first rules in force.
-VirtualFleet ReadyFleet() {
-  VirtualFleet fleet({});
+SpreadFleet ReadyFleet() {
+  SpreadFleet fleet({});
   REQUIRE(fleet.RunUntil([&] { return fleet.InForce(0); }, seconds(10)) < seconds(10));
   fleet.Run(seconds(5));
   return fleet;
@@ -47,7 +47,7 @@
 }
 
 TEST_CASE("a zone that is taken out takes no new work within three seconds, and only that zone") {
-  VirtualFleet fleet = ReadyFleet();
+  SpreadFleet fleet = ReadyFleet();
   for (int round = 0; round < 20; ++round) {
     fleet.Run(milliseconds(370));
     fleet.Apply(std::string(kOut));
@@ -61,7 +61,7 @@
 }
 
 TEST_CASE("an outage of the log alone closes nothing and costs few reads") {
-  VirtualFleet fleet = ReadyFleet();
+  SpreadFleet fleet = ReadyFleet();
   fleet.log().down = true;
   const auto reads = fleet.log().reads;
   for (int i = 0; i < 60; ++i) {
@@ -75,7 +75,7 @@
 }
 
 TEST_CASE("a zone that is cut off takes no new work, also once it was taken out and healed") {
-  VirtualFleet fleet = ReadyFleet();
+  SpreadFleet fleet = ReadyFleet();
   fleet.CutZone(0, true);
   CHECK(fleet.RunUntil([&] { return Closed(fleet, 0, Reason::kCutOff) == 3; }, seconds(30)) <
         kCutOffBound);
@@ -97,7 +97,7 @@
 TEST_CASE("a process cut off from the log, or from its links, still learns of new rules") {
   for (const bool from_log : {true, false}) {
     for (int i = 0; i < 9; ++i) {
-      VirtualFleet fleet = ReadyFleet();
+      SpreadFleet fleet = ReadyFleet();
       if (from_log) {
         fleet.CutFromLog(i, true);
       } else {
@@ -112,7 +112,7 @@
 
 TEST_CASE("a process that was paused starts nothing before it heard what it missed") {
   for (int i = 0; i < 9; i += kZones) {
-    VirtualFleet fleet = ReadyFleet();
+    SpreadFleet fleet = ReadyFleet();
     fleet.Freeze(i, true);
     fleet.Run(seconds(2));
     fleet.Apply(std::string(kOut));
--- a/tests/support/virtual_fleet.cc
+++ b/tests/support/spread_fleet.cc
@@ -1,4 +1,4 @@
-#include "virtual_fleet.h"
+#include "spread_fleet.h"
 
 #include <algorithm>
 #include <iterator>
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-VirtualFleet::VirtualFleet(const VirtualFleetOptions& options) : options_(options) {
+SpreadFleet::SpreadFleet(const SpreadFleetOptions& options) : options_(options) {
   processes_.resize(Index(options.entries + options.agents));
   for (int i = 0; i < size(); ++i) {
     const std::string name = "process-" + std::to_string(i);
@@ -48,7 +48,7 @@
   }
 }
 
-std::int64_t VirtualFleet::Apply(const std::string& text) {
+std::int64_t SpreadFleet::Apply(const std::string& text) {
   RulesHistory history;
   for (std::size_t i = 0; i < log_.records.size(); ++i) {
     history.Replay(static_cast<std::int64_t>(i), log_.records[i]);
@@ -58,20 +58,20 @@
   return history.next();
 }
 
-void VirtualFleet::PublishHosts() {
+void SpreadFleet::PublishHosts() {
   for (int i = 0; i < size(); ++i) {
     Post(i, policy::MembersListed{.members = hosts_});
   }
 }
 
-void VirtualFleet::Run(Duration time) {
+void SpreadFleet::Run(Duration time) {
   const Time end = now_ + time;
   while (now_ < end) {
     Tick();
   }
 }
 
-Duration VirtualFleet::RunUntil(const std::function<bool()>& condition, Duration most) {
+Duration SpreadFleet::RunUntil(const std::function<bool()>& condition, Duration most) {
   const Time start = now_;
   while (!condition() && now_ < start + most) {
     Tick();
@@ -79,7 +79,7 @@
   return condition() ? now_ - start : most;
 }
 
-void VirtualFleet::Kill(int i) {
+void SpreadFleet::Kill(int i) {
   Process& process = processes_[Index(i)];
   process.policy = nullptr;
   process.inbox.clear();
@@ -89,7 +89,7 @@
   }
 }
 
-void VirtualFleet::Restart(int i) {
+void SpreadFleet::Restart(int i) {
   Kill(i);
   Process& process = processes_[Index(i)];
   ++process.starts;
@@ -103,7 +103,7 @@
   Post(i, policy::MembersListed{.members = hosts_});
 }
 
-void VirtualFleet::CutZone(int zone, bool cut) {
+void SpreadFleet::CutZone(int zone, bool cut) {
   for (int i = 0; i < size(); ++i) {
     if (this->zone(i) == zone) {
       processes_[Index(i)].zone_cut = cut;
@@ -112,19 +112,19 @@
   }
 }
 
-void VirtualFleet::Post(int i, policy::Event event) {
+void SpreadFleet::Post(int i, policy::Event event) {
   if (alive(i)) {
     processes_[Index(i)].inbox.push_back({.at = now_, .event = std::move(event)});
   }
 }
 
-bool VirtualFleet::InForce(std::int64_t offset) const {
+bool SpreadFleet::InForce(std::int64_t offset) const {
   return std::ranges::all_of(processes_, [&](const Process& process) {
     return process.policy == nullptr || process.frozen || process.version.offset == offset;
   });
 }
 
-void VirtualFleet::Tick() {
+void SpreadFleet::Tick() {
   now_ += kTick;
   for (auto& link : links_) {
     UpdateLink(link);
@@ -138,7 +138,7 @@
   }
 }
 
-bool VirtualFleet::Reachable(const Link& link) const {
+bool SpreadFleet::Reachable(const Link& link) const {
   const Process& entry = processes_[Index(link.entry)];
   const Process& agent = processes_[Index(link.agent)];
   const bool live = entry.policy && agent.policy && !entry.frozen && !agent.frozen;
@@ -147,7 +147,7 @@
   return live && zones_meet && !entry.links_cut && !agent.links_cut;
 }
 
-void VirtualFleet::UpdateLink(Link& link) {
+void SpreadFleet::UpdateLink(Link& link) {
   if (Reachable(link)) {
     link.heard = now_;
     if (!link.up) {
@@ -163,7 +163,7 @@
   }
 }
 
-void VirtualFleet::SetUp(Link& link, bool up) {
+void SpreadFleet::SetUp(Link& link, bool up) {
   if (link.up == up) {
     return;
   }
@@ -182,13 +182,13 @@
   link.next_ping = now_;
 }
 
-void VirtualFleet::SendVersion(int from, int to) {
+void SpreadFleet::SendVersion(int from, int to) {
   const auto message = runtime::MessageOf(processes_[Index(from)].version, now_);
   const MemberId id = processes_[Index(from)].member.id;
   Send(from, to, *runtime::SpreadEventOf(id, message), wire::EncodeFrame(message).size());
 }
 
-void VirtualFleet::Step(int i) {
+void SpreadFleet::Step(int i) {
   Process& process = processes_[Index(i)];
   std::vector<policy::Event> events;
   std::vector<Delivery> later;
@@ -206,7 +206,7 @@
   }
 }
 
-void VirtualFleet::Execute(int i, const policy::Action& action) {
+void SpreadFleet::Execute(int i, const policy::Action& action) {
   if (const auto* version = std::get_if<policy::AnnounceVersion>(&action)) {
     went_back_ = went_back_ || version->offset < processes_[Index(i)].version.offset;
     processes_[Index(i)].version = *version;
@@ -233,13 +233,13 @@
   }
 }
 
-void VirtualFleet::SendConfiguration(int i, const policy::SendConfiguration& text) {
+void SpreadFleet::SendConfiguration(int i, const policy::SendConfiguration& text) {
   const auto message = runtime::MessageOf(text);
   Send(i, IndexOf(text.member), *runtime::SpreadEventOf(processes_[Index(i)].member.id, message),
        wire::EncodeFrame(message).size());
 }
 
-void VirtualFleet::Read(int i, std::int64_t from) {
+void SpreadFleet::Read(int i, std::int64_t from) {
   Process& process = processes_[Index(i)];
   ++log_.reads;
   policy::RulesRead event{.ok = !log_.down && !process.log_cut};
@@ -257,7 +257,7 @@
   process.inbox.push_back({.at = now_ + delay, .event = std::move(event)});
 }
 
-void VirtualFleet::Send(int from, int to, policy::Event event, std::size_t bytes) {
+void SpreadFleet::Send(int from, int to, policy::Event event, std::size_t bytes) {
   const auto& links = processes_[Index(from)].links;
   const auto found = std::ranges::find_if(links, [&](std::size_t link) {
     return links_[link].entry == to || links_[link].agent == to;
@@ -273,14 +273,14 @@
   }
 }
 
-int VirtualFleet::IndexOf(MemberId member) const {
+int SpreadFleet::IndexOf(MemberId member) const {
   const auto found = std::ranges::find_if(
       processes_, [&](const Process& process) { return process.member.id == member; });
   return static_cast<int>(found - processes_.begin());
 }
 
 template <class Visit>
-void VirtualFleet::ForEachPeer(int i, const Visit& visit) {
+void SpreadFleet::ForEachPeer(int i, const Visit& visit) {
   for (const std::size_t link : processes_[Index(i)].links) {
     visit(links_[link].entry == i ? links_[link].agent : links_[link].entry);
   }
--- a/tests/support/virtual_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -13,7 +13,7 @@
 /// Many processes' decisions in virtual time, over a fake log and fake links with faults.
 namespace lagoonwind::testing {
 
-struct VirtualFleetOptions {
+struct SpreadFleetOptions {
   int entries = 3;
   int agents = 6;
   int zones = 3;
@@ -36,9 +36,9 @@
 
 /// Processes are numbered: entries first, then agents; process i is in zone i % zones. Not thread
 /// safe.
-class VirtualFleet {
+class SpreadFleet {
  public:
-  explicit VirtualFleet(const VirtualFleetOptions& options);
+  explicit SpreadFleet(const SpreadFleetOptions& options);
 
   /// Appends rules as an operator that knows what is in force. \return Offset of the record.
   std::int64_t Apply(const std::string& text);
@@ -115,7 +115,7 @@
   template <class Visit>
   void ForEachPeer(int i, const Visit& visit);
 
-  VirtualFleetOptions options_;
+  SpreadFleetOptions options_;
   VirtualLog log_;
   std::vector<Process> processes_;
   std::vector<Link> links_;
--- a/tools/spread_experiment.cc
+++ b/tools/spread_experiment.cc
@@ -3,14 +3,14 @@
 #include <string>
 #include <vector>
 
-#include "virtual_fleet.h"
+#include "spread_fleet.h"
 
 /// Measures in virtual time how rules spread through fleets of growing size; prints CSV.
 namespace {
 
 using lagoonwind::Duration;
-using lagoonwind::testing::VirtualFleet;
-using lagoonwind::testing::VirtualFleetOptions;
+using lagoonwind::testing::SpreadFleet;
+using lagoonwind::testing::SpreadFleetOptions;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -38,7 +38,7 @@
 
 double Milliseconds(Duration time) { return static_cast<double>(time.count()) / 1000.0; }
 
-std::uint64_t MostBytes(const VirtualFleet& fleet, const std::vector<std::uint64_t>& before) {
+std::uint64_t MostBytes(const SpreadFleet& fleet, const std::vector<std::uint64_t>& before) {
   std::uint64_t most = 0;
   for (int i = 0; i < fleet.size(); ++i) {
     most = std::max(most, fleet.bytes(i) - before[static_cast<std::size_t>(i)]);
@@ -46,14 +46,14 @@
   return most;
 }
 
-std::vector<std::uint64_t> Bytes(const VirtualFleet& fleet) {
+std::vector<std::uint64_t> Bytes(const SpreadFleet& fleet) {
   std::vector<std::uint64_t> bytes(static_cast<std::size_t>(fleet.size()));
   std::ranges::generate(bytes, [&fleet, i = 0]() mutable { return fleet.bytes(i++); });
   return bytes;
 }
 
 /// Time until every process of the first zone takes no new work, from its cut on.
-Duration CutOff(VirtualFleet& fleet) {
+Duration CutOff(SpreadFleet& fleet) {
   fleet.CutZone(0, true);
   const auto closed = [&] {
     for (int i = 0; i < fleet.size(); ++i) {
@@ -68,11 +68,11 @@
 
 void Measure(const Size& size) {
   const int customers = kCustomersPerAgent * size.agents;
-  VirtualFleet fleet(VirtualFleetOptions{.entries = size.entries,
-                                         .agents = size.agents,
-                                         .zones = size.zones,
-                                         .links = size.links,
-                                         .rules = RulesOf(customers, 0)});
+  SpreadFleet fleet(SpreadFleetOptions{.entries = size.entries,
+                                       .agents = size.agents,
+                                       .zones = size.zones,
+                                       .links = size.links,
+                                       .rules = RulesOf(customers, 0)});
   const Duration cold = fleet.RunUntil([&] { return fleet.InForce(0); }, seconds(60));
   fleet.Run(seconds(5));
   auto before = Bytes(fleet);
