Report more often in small fleets, bound catch-up, and prove the gap under faults

At ten agents the ledger used a fraction of its traffic budget while totals were a second late; reports now go out every 20 ms per agent, 200 ms to 1 s. Catch-up was bounded at 64 mean requests, so after a partition of 17 s the customers that had been ahead got nothing for half a minute in 5 of 300 schedules; it is now 16 mean requests plus four times the service in flight.

tests/proofs/fair_share_test: 300 schedules with a cut of 17 s, a frozen agent and restarts of an agent and an entry; a flood; costs that differ 100 times. The check of starvation first demanded service within 30 s; slow fleets with dear requests can't give that, so it is twice the bound at an even rate. The flood's first threshold compared with a capacity that requests shorter than the fake engine's tick don't reach; it compares with the service that was given.

--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -81,8 +81,14 @@
 inline constexpr std::size_t kLedgerChoices = 2;
 /// Time without demand anywhere after which a customer counts as newly backlogged.
 inline constexpr milliseconds kLedgerIdleTime{5000};
-/// Largest lag behind the upper quartile of backlogged customers that is caught up, in mean
-/// requests of the customer whose requests are dearest.
-inline constexpr double kCatchUpRequests = 64;
+/// Least interval between an agent's reports to a ledger keeper in a small fleet.
+inline constexpr milliseconds kLedgerLeastInterval{200};
+/// Growth of that interval with each agent of the fleet.
+inline constexpr milliseconds kLedgerIntervalPerAgent{20};
+/// Largest lag behind the upper quartile of backlogged customers that is caught up: this many mean
+/// requests of the customer with the dearest ones, and this many times the largest service in
+/// flight of a customer.
+inline constexpr double kCatchUpRequests = 16;
+inline constexpr double kCatchUpInFlight = 4;
 
 }  // namespace lagoonwind::limits
--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -446,7 +446,7 @@
 struct FairShareOptions {
   ServiceView view = ServiceView::kDithered;
   CostEstimate estimate = CostEstimate::kMean;
-  /// Interval between an agent's reports to a ledger keeper.
+  /// Longest interval between an agent's reports to a ledger keeper; small fleets use less.
   Duration report_interval = limits::kLedgerReportInterval;
 };
 
--- a/packages/policy/src/keeper_map.cc
+++ b/packages/policy/src/keeper_map.cc
@@ -12,6 +12,7 @@
       agents.push_back(id);
     }
   }
+  agents_ = agents.size();
   wanted_.clear();
   for (std::uint32_t part = 0; part < limits::kLedgerParts; ++part) {
     parts_[part] = Choose(part, agents, suspects);
--- a/packages/policy/src/keeper_map.h
+++ b/packages/policy/src/keeper_map.h
@@ -18,6 +18,8 @@
   [[nodiscard]] MemberId KeeperOf(CustomerId customer, const Blackboard& board) const;
   /// Agents that this one must reach, itself left out; sorted.
   [[nodiscard]] const std::vector<MemberId>& wanted() const { return wanted_; }
+  /// Number of agents known, this one included.
+  [[nodiscard]] std::size_t agents() const { return agents_; }
   /// True if other agents reach this one as a keeper.
   [[nodiscard]] bool self_keeps() const { return self_keeps_; }
 
@@ -28,6 +30,7 @@
 
   std::array<Choices, limits::kLedgerParts> parts_;
   std::vector<MemberId> wanted_;
+  std::size_t agents_ = 1;
   bool self_keeps_ = false;
 };
 
--- a/packages/policy/src/ledger_controller.cc
+++ b/packages/policy/src/ledger_controller.cc
@@ -38,7 +38,7 @@
       OpenLinks(board, actions);
     }
     if (board.now >= next_report_) {
-      next_report_ = board.now + board.init.fair_share.report_interval;
+      next_report_ = board.now + Interval(board);
       SendReports(board, actions);
     }
   }
@@ -55,6 +55,14 @@
     Time sent;
   };
 
+  /// Small fleets report more often for the same traffic.
+  [[nodiscard]] Duration Interval(const Blackboard& board) const {
+    const Duration grown =
+        limits::kLedgerIntervalPerAgent * static_cast<std::int64_t>(keepers_.agents());
+    return std::min(board.init.fair_share.report_interval,
+                    std::max<Duration>(limits::kLedgerLeastInterval, grown));
+  }
+
   void OnLinkChanged(MemberId member, Blackboard& board) {
     channels_.erase(member);
     keeper_.Forget(member, board.now);
@@ -168,11 +176,14 @@
                         LedgerReport& report) {
     std::vector<double> levels;
     double dearest = 0;
+    double in_flight = 0;
     for (const CustomerId customer : backlogged) {
       const CustomerAccount& account = board.accounts.at(customer);
+      const double share = board.configuration->Share(customer);
       if (account.answered) {
-        levels.push_back(account.total.service / board.configuration->Share(customer));
-        dearest = std::max(dearest, board.costs.Typical(customer));
+        levels.push_back(account.total.service / share);
+        dearest = std::max(dearest, board.costs.Typical(customer) / share);
+        in_flight = std::max(in_flight, account.total.in_flight / share);
       }
     }
     if (levels.empty()) {
@@ -181,7 +192,8 @@
     report.lift = std::ranges::min(levels);
     const auto quartile = levels.begin() + static_cast<std::ptrdiff_t>(levels.size() * 3 / 4);
     std::ranges::nth_element(levels, quartile);
-    report.floor = std::max(*quartile - limits::kCatchUpRequests * dearest, 0.0);
+    const double lag = limits::kCatchUpRequests * dearest + limits::kCatchUpInFlight * in_flight;
+    report.floor = std::max(*quartile - lag, 0.0);
   }
 
   void OnAnswered(MemberId keeper, const LedgerTotals& totals, Blackboard& board) {
--- /dev/null
+++ b/tests/proofs/fair_share_test.cc
@@ -0,0 +1,164 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <random>
+
+#include "virtual_fleet.h"
+
+namespace lagoonwind::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kSchedules = 300;
+constexpr Duration kRun = 50s;
+/// By when all faults of a schedule have ended.
+constexpr Duration kFaultsEnd = 20s;
+/// Time over which the gap is measured after the faults.
+constexpr Duration kWindow = 30s;
+constexpr std::uint64_t kSmallestMean = 30;
+
+std::uint64_t Draw(std::mt19937_64& random, std::uint64_t least, std::uint64_t most) {
+  return least + random() % (most - least + 1);
+}
+
+/// A small fleet whose customers are spread badly over the entries.
+VirtualFleetOptions DrawFleet(std::uint64_t seed, std::mt19937_64& random) {
+  VirtualFleetOptions options{.entries = Draw(random, 2, 3),
+                              .agents = Draw(random, 3, 6),
+                              .slots = static_cast<std::uint32_t>(Draw(random, 1, 4)),
+                              .seed = seed};
+  const std::uint64_t customers = Draw(random, 3, 8);
+  for (std::uint64_t i = 0; i < customers; ++i) {
+    VirtualCustomer customer{.name = "customer-" + std::to_string(i),
+                             .share = static_cast<std::uint32_t>(Draw(random, 1, 3)),
+                             .entries = {Draw(random, 0, options.entries - 1)},
+                             .mean_cost = static_cast<double>(Draw(random, kSmallestMean, 150)),
+                             .depth = 12};
+    options.customers.push_back(std::move(customer));
+  }
+  return options;
+}
+
+/// docs/FAIRNESS.md, "The bound": service that the fleet gives between two reports, and one dearest
+/// mean request with its error on each slot.
+double Bound(const VirtualFleetOptions& options) {
+  const double slots = static_cast<double>(options.agents) * options.slots;
+  const double delay = std::chrono::duration<double>(options.fair_share.report_interval).count();
+  double dearest = 0;
+  for (const auto& customer : options.customers) {
+    dearest = std::max(dearest, customer.mean_cost / customer.share);
+  }
+  return slots * options.rate * delay + 4 * dearest * std::sqrt(slots) + 8 * dearest;
+}
+
+/// Time in which every backlogged customer must be served: twice the bound at an even rate.
+Duration LongestWait(const VirtualFleetOptions& options) {
+  double shares = 0;
+  for (const auto& customer : options.customers) {
+    shares += customer.share;
+  }
+  const double rate = static_cast<double>(options.agents) * options.slots * options.rate / shares;
+  const std::chrono::duration<double> wait(2 * Bound(options) / rate);
+  return std::chrono::duration_cast<Duration>(wait);
+}
+
+/// Cuts one entry and half the agents off, and meanwhile kills, freezes and restarts others.
+void RunFaults(const VirtualFleetOptions& options, std::mt19937_64& random, VirtualFleet& fleet) {
+  const Time start = fleet.now();
+  const std::size_t cut_agents = options.agents / 2;
+  fleet.RunUntil(start + 3s);
+  fleet.SetSide(0, 1);
+  for (std::size_t i = 0; i < cut_agents; ++i) {
+    fleet.SetSide(fleet.agent(i), 1);
+  }
+  const std::size_t frozen = fleet.agent(Draw(random, 0, options.agents - 1));
+  fleet.SetFrozen(frozen, true);
+  fleet.RunUntil(start + 10s);
+  fleet.SetFrozen(frozen, false);
+  fleet.Restart(fleet.agent(Draw(random, 0, options.agents - 1)));
+  fleet.RunUntil(start + 14s);
+  fleet.Restart(Draw(random, 0, options.entries - 1));
+  fleet.RunUntil(start + kFaultsEnd);
+  for (std::size_t i = 0; i < options.entries + options.agents; ++i) {
+    fleet.SetSide(i, 0);
+  }
+}
+
+struct Verdict {
+  double gap = 0;
+  double bound = 0;
+  /// Least service of a customer within the longest wait.
+  double least = 0;
+};
+
+Verdict RunSchedule(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  VirtualFleetOptions options = DrawFleet(seed, random);
+  VirtualFleet fleet(options);
+  const Time start = fleet.now();
+  RunFaults(options, random, fleet);
+  fleet.RunUntil(start + kRun);
+  const std::vector<double> before = fleet.ServicePerShare();
+  fleet.RunUntil(start + kRun + kWindow);
+  std::vector<double> after = fleet.ServicePerShare();
+  std::ranges::transform(after, before, after.begin(), std::minus<>());
+  Verdict verdict{.gap = Spread(after), .bound = Bound(options)};
+  fleet.RunUntil(start + kRun + std::max<Duration>(kWindow, LongestWait(options)));
+  after = fleet.ServicePerShare();
+  std::ranges::transform(after, before, after.begin(), std::minus<>());
+  verdict.least = std::ranges::min(after);
+  return verdict;
+}
+
+TEST_CASE("the gap between backlogged customers stays bounded after faults on 300 schedules") {
+  double worst = 0;
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    const Verdict verdict = RunSchedule(seed);
+    CAPTURE(seed);
+    CHECK(verdict.gap <= verdict.bound);
+    CHECK(verdict.least > 0);
+    worst = std::max(worst, verdict.gap / verdict.bound);
+  }
+  MESSAGE("largest gap as a share of its bound: " << worst);
+}
+
+/// One customer floods all entries, the others wait behind one each; costs differ 100 times.
+TEST_CASE("a flood from all entries costs the flooder only, also when costs differ 100 times") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    VirtualFleetOptions options{.entries = 3, .agents = 6, .slots = 4, .seed = seed};
+    options.customers.push_back(
+        {.name = "flood", .entries = {0, 1, 2}, .mean_cost = 300, .depth = 90});
+    for (std::size_t i = 0; i < 5; ++i) {
+      options.customers.push_back({.name = "calm-" + std::to_string(i),
+                                   .entries = {i % 3},
+                                   .mean_cost = i == 0 ? 3.0 : 60.0,
+                                   .depth = 30});
+    }
+    VirtualFleet fleet(options);
+    fleet.RunUntil(fleet.now() + 120s);
+    const std::vector<double> service = fleet.ServicePerShare();
+    const double even = std::accumulate(service.begin(), service.end(), 0.0) / 6;
+    CAPTURE(seed);
+    CHECK(service[0] < 1.15 * even);
+    CHECK(std::ranges::min(service) > 0.85 * even);
+  }
+}
+
+TEST_CASE("no slot idles while work waits at Pakthong's size") {
+  VirtualFleetOptions options{.entries = 3, .agents = 10, .slots = 8};
+  for (std::size_t i = 0; i < 16; ++i) {
+    options.customers.push_back({.name = "customer-" + std::to_string(i),
+                                 .share = i % 5 == 0 ? 4U : 1U,
+                                 .entries = {i % 3},
+                                 .depth = 30});
+  }
+  VirtualFleet fleet(options);
+  fleet.RunUntil(fleet.now() + 30s);
+  CHECK(fleet.IdleShare() < 0.01);
+}
+
+}  // namespace
+}  // namespace lagoonwind::testing
