--- a/packages/runtime/src/attempt_run.h
+++ b/packages/runtime/src/attempt_run.h
@@ -30,7 +30,8 @@
   [[nodiscard]] bool cancelled() const override { return cancelled_; }
 
  private:
-  void Charge(double service);
+  void Charge(double service, std::uint32_t tokens, Duration took);
+  void ChargeTokens(std::uint32_t tokens);
   /// True for a call that was claimed; its answer is kept and its refusal released first.
   [[nodiscard]] bool claimed() const { return !offer_.repeatable && offer_.key != 0; }
   /// The whole answer, or null if it isn't kept.
@@ -47,6 +48,9 @@
   /// Answer of a claimed call so far, as long as it is small enough to be kept.
   policy::KeptAnswer kept_;
   std::chrono::steady_clock::time_point started_;
+  /// When the last streamed token arrived; the epoch before the first.
+  std::chrono::steady_clock::time_point last_token_;
+  bool streams_ = false;
 };
 
 }  // namespace lagoonwind::runtime
