--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -13,6 +13,7 @@
 #include "cost_estimator.h"
 #include "lagoonwind/policy.h"
 #include "lagoonwind/rules_history.h"
+#include "outcome_state.h"
 
 namespace lagoonwind::policy {
 
@@ -54,8 +55,6 @@
   Time read_began;
 };
 
-enum class RequestPhase { kWaiting, kOffered, kRunning };
-
 /// A request that this entry owns.
 struct OwnedRequest {
   RequestTraits traits;
@@ -68,6 +67,12 @@
   /// Agent of the current attempt.
   MemberId agent;
   bool answer_began = false;
+
+  [[nodiscard]] RequestFacts facts() const {
+    return {.phase = phase, .may_have_run = started_attempts > 0, .answer_began = answer_began};
+  }
+  /// Precondition: MayMove(phase, to).
+  void MoveTo(RequestPhase to);
 };
 
 /// What an entry knows of an agent.
--- a/packages/runtime/src/link_manager.h
+++ b/packages/runtime/src/link_manager.h
@@ -52,6 +52,12 @@
   /// Carries out an action on links, heartbeats or the spread of the configuration. Thread safe.
   /// \return False if it isn't one.
   bool Execute(const policy::Action& action);
+  /// True if every link has handed on all that was sent. Thread safe.
+  [[nodiscard]] bool Flushed() const;
+  /// Ends the sending direction of every link; peers then close them. Thread safe.
+  void Shutdown();
+  /// True if no link is established. Thread safe.
+  [[nodiscard]] bool empty() const;
 
   void OnLinkMessage(Link& link, wire::Message message) override;
   wire::Message Heartbeat() override;
