--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -86,6 +86,21 @@
   auto operator<=>(const Demand&) const = default;
 };
 
+/// What is known of a request's content after a crash. Spreads by the higher level.
+/// Levels alternate: an odd one is a suspect, which a crash has found running; an even one was
+/// acquitted by a run that ended well. From `kQuarantineLevel` on it is quarantined.
+struct Suspect {
+  Digest digest;
+  std::uint32_t level = 0;
+  /// Time for which this is still remembered.
+  Duration remaining{0};
+
+  auto operator<=>(const Suspect&) const = default;
+};
+
+/// Level from which a digest doesn't run.
+inline constexpr std::uint32_t kQuarantineLevel = 7;
+
 /// What an agent tells entries about itself.
 struct AgentReport {
   std::vector<TargetId> targets;
@@ -266,6 +281,11 @@
   std::vector<RulesRecord> records;
 };
 
+/// Another process knows of suspects.
+struct SuspectsReported {
+  std::vector<Suspect> suspects;
+};
+
 // Events of an entry.
 
 struct RequestArrived {
@@ -402,7 +422,7 @@
                  GrantDeclined, DemandReported, ServiceAccrued, AnswerStarted, AttemptFinished,
                  BackendObserved, MemberLeaving, VersionHeard, ConfigurationRequested,
                  ConfigurationReceived, RulesRead, ClaimAppended, ClaimAppendFailed, ClaimsRead,
-                 ClaimsReadFailed, LedgerReported, LedgerAnswered>;
+                 ClaimsReadFailed, LedgerReported, LedgerAnswered, SuspectsReported>;
 
 // Actions of both roles.
 
@@ -453,6 +473,11 @@
   Digest digest;
 };
 
+/// Tell every linked process of the other role.
+struct SendSuspects {
+  std::vector<Suspect> suspects;
+};
+
 // Actions of an entry.
 
 /// Send a request to an agent as a new attempt.
@@ -544,7 +569,7 @@
                  StartAttempt, QueueAttempt, RefuseAttempt, CancelAttempt, SendGrant,
                  SendAgentReport, SendLeaving, ReadRules, AppendRules, PublishConfiguration,
                  AnnounceVersion, RequestConfiguration, SendConfiguration, AppendClaim, ReadClaims,
-                 RepeatAnswer, SendLedgerReport, SendLedgerTotals>;
+                 RepeatAnswer, SendLedgerReport, SendLedgerTotals, SendSuspects>;
 
 /// What was decided; `Describe` gives it in words.
 enum class DecisionKind {
@@ -570,6 +595,8 @@
   kClaimLost,
   kClaimReleased,
   kAnswerRepeated,
+  kDigestSuspected,
+  kDigestQuarantined,
 };
 
 /// One entry of the decision ring.
@@ -627,6 +654,11 @@
   std::uint32_t waiting = 0;
   std::uint64_t grants_sent = 0;
   std::uint64_t grants_expired = 0;
+  /// Attempts that were tried again, and those that the retry budget didn't allow.
+  std::uint64_t retries = 0;
+  std::uint64_t retries_denied = 0;
+  /// Digests that are quarantined now.
+  std::uint32_t quarantined = 0;
   std::vector<CustomerStats> customers;
   std::vector<MemberStats> members;
 };
@@ -670,6 +702,8 @@
   /// Requests that the agent's backend server bears at a time; 0 finds it out by warm-up.
   std::uint32_t fixed_window = 0;
   FairShareOptions fair_share;
+  /// Retries that an entry allows itself, as a share of the requests that arrive.
+  double retry_share = limits::kRetryShare;
 };
 
 /// The decisions of one process. Not thread safe: the caller serialises all methods.
--- a/packages/policy/src/admission_controller.cc
+++ b/packages/policy/src/admission_controller.cc
@@ -39,6 +39,10 @@
       Refuse(offer, Reason::kNotServed, board, actions);
     } else if (board.Closed()) {
       Refuse(offer, board.ClosedReason(), board, actions);
+    } else if (board.Quarantined(offer.traits.digest)) {
+      Refuse(offer, Reason::kQuarantined, board, actions);
+    } else if (board.MustRunLater(offer.traits.digest)) {
+      Refuse(offer, Reason::kNoRoom, board, actions);
     } else if (board.Room() > 0 && (granted || !OthersWait(board))) {
       Start(offer, board, actions);
     } else {
--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -73,6 +73,12 @@
   }
   /// Precondition: MayMove(phase, to).
   void MoveTo(RequestPhase to);
+  /// Attempts that count towards limits::kMaxAttempts.
+  std::uint32_t tries = 0;
+  /// When the current attempt started.
+  Time started;
+  /// When backing off ends.
+  Time retry_at;
 };
 
 /// What an entry knows of an agent.
@@ -158,6 +164,17 @@
   bool stalled = false;
 };
 
+/// A digest that a crash has found running.
+struct SuspectState {
+  std::uint32_t level = 0;
+  /// When the level last changed here. What started before says nothing new.
+  Time changed;
+  Time expires;
+
+  [[nodiscard]] bool quarantined() const { return level >= kQuarantineLevel; }
+  [[nodiscard]] bool suspected() const { return !quarantined() && level % 2 == 1; }
+};
+
 /// The tables that controllers read and write. Each table has one writer, named beside it, except
 /// where a comment says otherwise. Ordered maps keep iteration the same on every run.
 struct Blackboard {
@@ -215,6 +232,9 @@
   // Agent: FairShareController.
   CostEstimator costs;
 
+  // Both roles: QuarantineController.
+  absl::btree_map<Digest, SuspectState> suspects;
+
   // Every controller.
   DecisionRing decisions;
   Stats counters;
@@ -231,6 +251,9 @@
   [[nodiscard]] bool Serves(TargetId target) const;
   /// Service that this agent gave to a customer since it started.
   [[nodiscard]] double OwnService(CustomerId customer) const;
+  [[nodiscard]] bool Quarantined(Digest digest) const;
+  /// True if the digest is a suspect and another suspect runs on this agent's backend server.
+  [[nodiscard]] bool MustRunLater(Digest digest) const;
   void Record(Decision decision);
 };
 
--- a/packages/policy/src/controller.h
+++ b/packages/policy/src/controller.h
@@ -39,8 +39,9 @@
 std::unique_ptr<Controller> MakeLogReaderController();
 std::unique_ptr<Controller> MakeSpreadController();
 std::unique_ptr<Controller> MakeZoneController();
+std::unique_ptr<Controller> MakeQuarantineController();
 // Entry.
-std::unique_ptr<Controller> MakeRetryController();
+std::unique_ptr<Controller> MakeRetryController(const Init& init);
 std::unique_ptr<Controller> MakeRoutingController();
 // Agent.
 std::unique_ptr<Controller> MakeWarmUpController();
--- a/packages/policy/src/names.cc
+++ b/packages/policy/src/names.cc
@@ -114,6 +114,10 @@
       return "claim released, the call never ran";
     case DecisionKind::kAnswerRepeated:
       return "kept answer given again";
+    case DecisionKind::kDigestSuspected:
+      return "request may crash backend servers, runs alone among such";
+    case DecisionKind::kDigestQuarantined:
+      return "request crashes backend servers, quarantined";
   }
   return "decision";
 }
--- a/packages/policy/src/outcome_state.cc
+++ b/packages/policy/src/outcome_state.cc
@@ -7,8 +7,10 @@
     case RequestPhase::kWaiting:
       return to == RequestPhase::kOffered;
     case RequestPhase::kOffered:
-      return to == RequestPhase::kWaiting || to == RequestPhase::kRunning;
+      return to != RequestPhase::kOffered;
     case RequestPhase::kRunning:
+      return to == RequestPhase::kWaiting || to == RequestPhase::kBackingOff;
+    case RequestPhase::kBackingOff:
       return to == RequestPhase::kWaiting;
   }
   return false;
@@ -17,7 +19,7 @@
 bool MayEnd(const RequestFacts& facts, Outcome outcome) {
   switch (outcome) {
     case Outcome::kComplete:
-      return facts.phase != RequestPhase::kWaiting;
+      return facts.phase == RequestPhase::kOffered || facts.phase == RequestPhase::kRunning;
     case Outcome::kNotRun:
       return !facts.may_have_run && !facts.answer_began;
     case Outcome::kUnknown:
--- a/packages/policy/src/outcome_state.h
+++ b/packages/policy/src/outcome_state.h
@@ -5,7 +5,13 @@
 namespace lagoonwind::policy {
 
 /// Where a request is, until it has an outcome; docs/OUTCOMES.md draws the moves.
-enum class RequestPhase { kWaiting, kOffered, kRunning };
+enum class RequestPhase {
+  kWaiting,
+  kOffered,
+  kRunning,
+  /// Waits for its next attempt and isn't counted as demand.
+  kBackingOff,
+};
 
 /// What the outcome of a request depends on.
 struct RequestFacts {
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -2,6 +2,7 @@
 
 #include <absl/container/btree_map.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -19,12 +20,13 @@
   list.push_back(MakeZoneController());
   list.push_back(MakeLogReaderController());
   list.push_back(MakeSpreadController());
+  list.push_back(MakeQuarantineController());
 }
 
-ControllerList EntryControllers() {
+ControllerList EntryControllers(const Init& init) {
   ControllerList list;
   AddCommonControllers(list);
-  list.push_back(MakeRetryController());
+  list.push_back(MakeRetryController(init));
   list.push_back(MakeRoutingController());
   return list;
 }
@@ -71,6 +73,8 @@
     stats.closed = board_.ClosedReason();
     stats.reads_log = board_.log.reading;
     stats.window = board_.backend.window;
+    stats.quarantined = static_cast<std::uint32_t>(std::ranges::count_if(
+        board_.suspects, [](const auto& item) { return item.second.quarantined(); }));
     FillCustomers(stats);
     for (const auto& [id, state] : board_.members) {
       stats.members.push_back(MemberStats{.member = state.member, .linked = state.linked});
@@ -121,7 +125,7 @@
 
 std::unique_ptr<Policy> MakePolicy(const Init& init) {
   return std::make_unique<BlackboardPolicy>(
-      init, init.role == Role::kEntry ? EntryControllers() : AgentControllers(init));
+      init, init.role == Role::kEntry ? EntryControllers(init) : AgentControllers(init));
 }
 
 }  // namespace lagoonwind::policy
--- a/packages/runtime/src/attempt_run.cc
+++ b/packages/runtime/src/attempt_run.cc
@@ -55,6 +55,12 @@
   return policy::Reason::kNone;
 }
 
+/// True if a backend server that broke a run off is gone or another instance.
+http::asio::awaitable<bool> HasCrashed(backend::Backend& backend, std::uint64_t instance) {
+  const auto health = co_await backend.Observe();
+  co_return !health.ok() || (instance != 0 && health->instance != instance);
+}
+
 }  // namespace
 
 AttemptRun::AttemptRun(const DaemonContext& context, MemberId entry, wire::gen::Offer offer)
@@ -63,7 +69,7 @@
       offer_(std::move(offer)),
       id_(wire::FromWire(offer_.attempt)) {}
 
-http::asio::awaitable<void> AttemptRun::Run(backend::Backend& backend) {
+http::asio::awaitable<void> AttemptRun::Run(backend::Backend& backend, std::uint64_t instance) {
   started_ = std::chrono::steady_clock::now();
   wire::Message message;
   message.__set_started({});
@@ -87,7 +93,11 @@
     Charge(kSecondService * std::chrono::duration<double>(took).count(), whole ? 1 : 0,
            Micros(took));
   }
-  End(result);
+  policy::Reason reason = ReasonOf(result);
+  if (result == CallResult::kUnknown && co_await HasCrashed(backend, instance)) {
+    reason = policy::Reason::kBackendCrashed;
+  }
+  End(result, reason);
 }
 
 void AttemptRun::OnHead(const backend::AnswerHead& head) {
@@ -150,25 +160,24 @@
   return std::make_shared<const policy::KeptAnswer>(std::move(kept_));
 }
 
-void AttemptRun::End(CallResult result) {
-  policy::AttemptFinished finished{
-      .attempt = id_, .result = ResultOf(result), .reason = ReasonOf(result)};
+void AttemptRun::End(CallResult result, policy::Reason reason) {
+  policy::AttemptFinished finished{.attempt = id_, .result = ResultOf(result), .reason = reason};
   finished.answer = result == CallResult::kComplete ? TakeKept() : nullptr;
   LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
             << " customer=" << offer_.customer_name << " reason=" << policy::Name(finished.reason);
   // The decisions tell the entry of a claimed call that never ran, once its claim is released.
   if (!claimed() || finished.result != policy::AttemptResult::kNotRun) {
-    SendEnd(result);
+    SendEnd(result, reason);
   }
   context_.policy.Post(std::move(finished));
 }
 
-void AttemptRun::SendEnd(CallResult result) {
+void AttemptRun::SendEnd(CallResult result, policy::Reason reason) {
   wire::Message message;
   message.__set_ended({});
   message.ended.attempt = offer_.attempt;
   message.ended.result = static_cast<std::int32_t>(ResultOf(result));
-  message.ended.reason = static_cast<std::int32_t>(ReasonOf(result));
+  message.ended.reason = static_cast<std::int32_t>(reason);
   message.ended.length = static_cast<std::int64_t>(sent_);
   context_.links.Send(entry_, message);
 }
--- a/packages/runtime/src/link_manager.cc
+++ b/packages/runtime/src/link_manager.cc
@@ -228,6 +228,8 @@
     Send(configuration->member, MessageOf(*configuration));
   } else if (const auto* leaving = std::get_if<policy::SendLeaving>(&action)) {
     SendLeaving(*leaving);
+  } else if (const auto* suspects = std::get_if<policy::SendSuspects>(&action)) {
+    SendSuspects(*suspects);
   } else {
     return false;
   }
@@ -254,6 +256,13 @@
   }
 }
 
+void LinkManager::SendSuspects(const policy::SendSuspects& suspects) {
+  wire::Message message;
+  message.__set_suspects(wire::ToWire(suspects.suspects));
+  const bool from_entry = options_.role == policy::Role::kEntry;
+  Broadcast(from_entry ? policy::Role::kAgent : policy::Role::kEntry, message);
+}
+
 void LinkManager::SendToAll(const wire::Message& message) {
   Broadcast(policy::Role::kEntry, message);
   Broadcast(policy::Role::kAgent, message);
--- a/packages/runtime/src/link_manager.h
+++ b/packages/runtime/src/link_manager.h
@@ -78,6 +78,7 @@
   void Announce(const policy::AnnounceVersion& version);
   void SendToAll(const wire::Message& message);
   void SendLeaving(const policy::SendLeaving& leaving);
+  void SendSuspects(const policy::SendSuspects& suspects);
   [[nodiscard]] bool Wanted(const policy::Member& member) const;
   [[nodiscard]] wire::gen::Hello OwnHello() const;
 
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -4258,6 +4258,272 @@
 }
 
 
+SuspectItem::~SuspectItem() noexcept {
+}
+
+
+void SuspectItem::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void SuspectItem::__set_level(const int32_t val) {
+  this->level = val;
+}
+
+void SuspectItem::__set_remaining_us(const int64_t val) {
+  this->remaining_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectItem& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remaining_us);
+          this->__isset.remaining_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuspectItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectItem");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->level);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->remaining_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectItem &a, SuspectItem &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.level, b.level);
+  swap(a.remaining_us, b.remaining_us);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectItem::SuspectItem(const SuspectItem& other128) noexcept {
+  digest = other128.digest;
+  level = other128.level;
+  remaining_us = other128.remaining_us;
+  __isset = other128.__isset;
+}
+SuspectItem::SuspectItem(SuspectItem&& other129) noexcept {
+  digest = other129.digest;
+  level = other129.level;
+  remaining_us = other129.remaining_us;
+  __isset = other129.__isset;
+}
+SuspectItem& SuspectItem::operator=(const SuspectItem& other130) noexcept {
+  digest = other130.digest;
+  level = other130.level;
+  remaining_us = other130.remaining_us;
+  __isset = other130.__isset;
+  return *this;
+}
+SuspectItem& SuspectItem::operator=(SuspectItem&& other131) noexcept {
+  digest = other131.digest;
+  level = other131.level;
+  remaining_us = other131.remaining_us;
+  __isset = other131.__isset;
+  return *this;
+}
+void SuspectItem::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectItem(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "level=" << to_string(level);
+  out << ", " << "remaining_us=" << to_string(remaining_us);
+  out << ")";
+}
+
+
+Suspects::~Suspects() noexcept {
+}
+
+
+void Suspects::__set_items(const std::vector<SuspectItem> & val) {
+  this->items = val;
+}
+std::ostream& operator<<(std::ostream& out, const Suspects& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Suspects::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->items.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
+            {
+              xfer += this->items[_i136].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Suspects::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Suspects");
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<SuspectItem> ::const_iterator _iter137;
+    for (_iter137 = this->items.begin(); _iter137 != this->items.end(); ++_iter137)
+    {
+      xfer += (*_iter137).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Suspects &a, Suspects &b) {
+  using ::std::swap;
+  swap(a.items, b.items);
+  swap(a.__isset, b.__isset);
+}
+
+Suspects::Suspects(const Suspects& other138) {
+  items = other138.items;
+  __isset = other138.__isset;
+}
+Suspects::Suspects(Suspects&& other139) noexcept {
+  items = std::move(other139.items);
+  __isset = other139.__isset;
+}
+Suspects& Suspects::operator=(const Suspects& other140) {
+  items = other140.items;
+  __isset = other140.__isset;
+  return *this;
+}
+Suspects& Suspects::operator=(Suspects&& other141) noexcept {
+  items = std::move(other141.items);
+  __isset = other141.__isset;
+  return *this;
+}
+void Suspects::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Suspects(";
+  out << "items=" << to_string(items);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -4366,6 +4632,11 @@
   this->ledger_totals = val;
 __isset.ledger_totals = true;
 }
+
+void Message::__set_suspects(const Suspects& val) {
+  this->suspects = val;
+__isset.suspects = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -4562,6 +4833,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->suspects.read(iprot);
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4664,6 +4943,11 @@
     xfer += this->ledger_totals.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_STRUCT, 30);
+    xfer += this->suspects.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.claim) {
     xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 40);
     xfer += this->claim.write(oprot);
@@ -4712,105 +4996,110 @@
   swap(a.credit, b.credit);
   swap(a.ledger_report, b.ledger_report);
   swap(a.ledger_totals, b.ledger_totals);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other128) {
-  hello = other128.hello;
-  proof = other128.proof;
-  ping = other128.ping;
-  leaving = other128.leaving;
-  offer = other128.offer;
-  queued = other128.queued;
-  started = other128.started;
-  head = other128.head;
-  chunk = other128.chunk;
-  ended = other128.ended;
-  cancel = other128.cancel;
-  demand = other128.demand;
-  grant = other128.grant;
-  decline = other128.decline;
-  agent_report = other128.agent_report;
-  configuration_request = other128.configuration_request;
-  configuration_text = other128.configuration_text;
-  claim = other128.claim;
-  credit = other128.credit;
-  ledger_report = other128.ledger_report;
-  ledger_totals = other128.ledger_totals;
-  __isset = other128.__isset;
-}
-Message::Message(Message&& other129) noexcept {
-  hello = std::move(other129.hello);
-  proof = std::move(other129.proof);
-  ping = std::move(other129.ping);
-  leaving = std::move(other129.leaving);
-  offer = std::move(other129.offer);
-  queued = std::move(other129.queued);
-  started = std::move(other129.started);
-  head = std::move(other129.head);
-  chunk = std::move(other129.chunk);
-  ended = std::move(other129.ended);
-  cancel = std::move(other129.cancel);
-  demand = std::move(other129.demand);
-  grant = std::move(other129.grant);
-  decline = std::move(other129.decline);
-  agent_report = std::move(other129.agent_report);
-  configuration_request = std::move(other129.configuration_request);
-  configuration_text = std::move(other129.configuration_text);
-  claim = std::move(other129.claim);
-  credit = std::move(other129.credit);
-  ledger_report = std::move(other129.ledger_report);
-  ledger_totals = std::move(other129.ledger_totals);
-  __isset = other129.__isset;
-}
-Message& Message::operator=(const Message& other130) {
-  hello = other130.hello;
-  proof = other130.proof;
-  ping = other130.ping;
-  leaving = other130.leaving;
-  offer = other130.offer;
-  queued = other130.queued;
-  started = other130.started;
-  head = other130.head;
-  chunk = other130.chunk;
-  ended = other130.ended;
-  cancel = other130.cancel;
-  demand = other130.demand;
-  grant = other130.grant;
-  decline = other130.decline;
-  agent_report = other130.agent_report;
-  configuration_request = other130.configuration_request;
-  configuration_text = other130.configuration_text;
-  claim = other130.claim;
-  credit = other130.credit;
-  ledger_report = other130.ledger_report;
-  ledger_totals = other130.ledger_totals;
-  __isset = other130.__isset;
+Message::Message(const Message& other142) {
+  hello = other142.hello;
+  proof = other142.proof;
+  ping = other142.ping;
+  leaving = other142.leaving;
+  offer = other142.offer;
+  queued = other142.queued;
+  started = other142.started;
+  head = other142.head;
+  chunk = other142.chunk;
+  ended = other142.ended;
+  cancel = other142.cancel;
+  demand = other142.demand;
+  grant = other142.grant;
+  decline = other142.decline;
+  agent_report = other142.agent_report;
+  configuration_request = other142.configuration_request;
+  configuration_text = other142.configuration_text;
+  claim = other142.claim;
+  credit = other142.credit;
+  ledger_report = other142.ledger_report;
+  ledger_totals = other142.ledger_totals;
+  suspects = other142.suspects;
+  __isset = other142.__isset;
+}
+Message::Message(Message&& other143) noexcept {
+  hello = std::move(other143.hello);
+  proof = std::move(other143.proof);
+  ping = std::move(other143.ping);
+  leaving = std::move(other143.leaving);
+  offer = std::move(other143.offer);
+  queued = std::move(other143.queued);
+  started = std::move(other143.started);
+  head = std::move(other143.head);
+  chunk = std::move(other143.chunk);
+  ended = std::move(other143.ended);
+  cancel = std::move(other143.cancel);
+  demand = std::move(other143.demand);
+  grant = std::move(other143.grant);
+  decline = std::move(other143.decline);
+  agent_report = std::move(other143.agent_report);
+  configuration_request = std::move(other143.configuration_request);
+  configuration_text = std::move(other143.configuration_text);
+  claim = std::move(other143.claim);
+  credit = std::move(other143.credit);
+  ledger_report = std::move(other143.ledger_report);
+  ledger_totals = std::move(other143.ledger_totals);
+  suspects = std::move(other143.suspects);
+  __isset = other143.__isset;
+}
+Message& Message::operator=(const Message& other144) {
+  hello = other144.hello;
+  proof = other144.proof;
+  ping = other144.ping;
+  leaving = other144.leaving;
+  offer = other144.offer;
+  queued = other144.queued;
+  started = other144.started;
+  head = other144.head;
+  chunk = other144.chunk;
+  ended = other144.ended;
+  cancel = other144.cancel;
+  demand = other144.demand;
+  grant = other144.grant;
+  decline = other144.decline;
+  agent_report = other144.agent_report;
+  configuration_request = other144.configuration_request;
+  configuration_text = other144.configuration_text;
+  claim = other144.claim;
+  credit = other144.credit;
+  ledger_report = other144.ledger_report;
+  ledger_totals = other144.ledger_totals;
+  suspects = other144.suspects;
+  __isset = other144.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other131) noexcept {
-  hello = std::move(other131.hello);
-  proof = std::move(other131.proof);
-  ping = std::move(other131.ping);
-  leaving = std::move(other131.leaving);
-  offer = std::move(other131.offer);
-  queued = std::move(other131.queued);
-  started = std::move(other131.started);
-  head = std::move(other131.head);
-  chunk = std::move(other131.chunk);
-  ended = std::move(other131.ended);
-  cancel = std::move(other131.cancel);
-  demand = std::move(other131.demand);
-  grant = std::move(other131.grant);
-  decline = std::move(other131.decline);
-  agent_report = std::move(other131.agent_report);
-  configuration_request = std::move(other131.configuration_request);
-  configuration_text = std::move(other131.configuration_text);
-  claim = std::move(other131.claim);
-  credit = std::move(other131.credit);
-  ledger_report = std::move(other131.ledger_report);
-  ledger_totals = std::move(other131.ledger_totals);
-  __isset = other131.__isset;
+Message& Message::operator=(Message&& other145) noexcept {
+  hello = std::move(other145.hello);
+  proof = std::move(other145.proof);
+  ping = std::move(other145.ping);
+  leaving = std::move(other145.leaving);
+  offer = std::move(other145.offer);
+  queued = std::move(other145.queued);
+  started = std::move(other145.started);
+  head = std::move(other145.head);
+  chunk = std::move(other145.chunk);
+  ended = std::move(other145.ended);
+  cancel = std::move(other145.cancel);
+  demand = std::move(other145.demand);
+  grant = std::move(other145.grant);
+  decline = std::move(other145.decline);
+  agent_report = std::move(other145.agent_report);
+  configuration_request = std::move(other145.configuration_request);
+  configuration_text = std::move(other145.configuration_text);
+  claim = std::move(other145.claim);
+  credit = std::move(other145.credit);
+  ledger_report = std::move(other145.ledger_report);
+  ledger_totals = std::move(other145.ledger_totals);
+  suspects = std::move(other145.suspects);
+  __isset = other145.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -4837,6 +5126,7 @@
   out << ", " << "credit="; (__isset.credit ? (out << to_string(credit)) : (out << "<null>"));
   out << ", " << "ledger_report="; (__isset.ledger_report ? (out << to_string(ledger_report)) : (out << "<null>"));
   out << ", " << "ledger_totals="; (__isset.ledger_totals ? (out << to_string(ledger_totals)) : (out << "<null>"));
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -197,6 +197,17 @@
   2: list<LedgerTotal> totals
 }
 
+struct SuspectItem {
+  1: i64 digest
+  2: i32 level
+  3: i64 remaining_us
+}
+
+// Digests of requests that ran when a backend server crashed.
+struct Suspects {
+  1: list<SuspectItem> items
+}
+
 // One frame on a link. Numbers of fields are never used again.
 union Message {
   1: Hello hello
@@ -220,4 +231,5 @@
   41: Credit credit
   20: LedgerReport ledger_report
   21: LedgerTotals ledger_totals
+  30: Suspects suspects
 }
--- a/packages/wire/include/lagoonwind/wire.h
+++ b/packages/wire/include/lagoonwind/wire.h
@@ -46,6 +46,8 @@
 policy::LedgerReport FromWire(const gen::LedgerReport& report);
 gen::LedgerTotals ToWire(const policy::LedgerTotals& totals);
 policy::LedgerTotals FromWire(const gen::LedgerTotals& totals);
+gen::Suspects ToWire(std::span<const policy::Suspect> suspects);
+std::vector<policy::Suspect> FromWire(const gen::Suspects& suspects);
 /// Values outside the enumeration give kUnknown and kNone.
 policy::AttemptResult ResultFromWire(std::int32_t value);
 policy::Reason ReasonFromWire(std::int32_t value);
