--- a/packages/policy/src/routing_controller.cc
+++ b/packages/policy/src/routing_controller.cc
@@ -127,8 +127,9 @@
   static void ExpireWaiting(Blackboard& board, ActionList& actions) {
     absl::erase_if(board.requests, [&](const auto& item) {
       const auto& [id, request] = item;
-      if (request.phase != RequestPhase::kWaiting ||
-          board.now - request.arrived < limits::kMaxQueueWait) {
+      const bool placed =
+          request.phase == RequestPhase::kOffered || request.phase == RequestPhase::kRunning;
+      if (placed || board.now - request.arrived < limits::kMaxQueueWait) {
         return false;
       }
       actions.Add(FinishRequest{
