--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -21,6 +21,8 @@
 inline constexpr std::uint32_t kMaxHeaderBytes = 16U << 10U;
 /// Largest number of callers' connections that one entry holds.
 inline constexpr std::size_t kMaxCallerConnections = 8192;
+/// Largest number of connections that an operators' port holds.
+inline constexpr std::size_t kMaxServedConnections = 1024;
 /// Time that a caller has to send one whole request.
 inline constexpr seconds kCallerReadTimeout{30};
 /// Time without progress after which a write to a caller is given up.
@@ -44,14 +46,54 @@
 /// Largest number of records that one read of the log returns.
 inline constexpr std::size_t kMaxLogReadRecords = 1024;
 /// Interval between reads of the configuration stream by a daemon that tails it.
-inline constexpr milliseconds kConfigurationPollInterval{300};
-/// Interval between reads of the host list.
+inline constexpr milliseconds kConfigurationPollInterval{500};
+/// Longest delay between reads of the configuration stream after failed ones.
+inline constexpr milliseconds kMaxLogRetryDelay{4000};
+/// Shortest interval between reads of the host list.
 inline constexpr milliseconds kHostListPollInterval{500};
+/// Share of that interval for each listed host.
+inline constexpr milliseconds kHostListPollPerHost{20};
+/// Daemons that tail the configuration stream while it is known to be read.
+inline constexpr std::uint32_t kLogReaders = 3;
+/// Largest number of daemons that tail it when it isn't.
+inline constexpr std::uint32_t kMaxLogReaders = 24;
+/// Age of the fleet's last whole read of the log from which on further daemons read it.
+inline constexpr milliseconds kLogReadOverdue{3000};
+/// Time in which the number of readers doubles from there on.
+inline constexpr milliseconds kLogReadersDoubling{2000};
+/// Time for which a daemon goes on reading once it began in another's stead.
+inline constexpr seconds kLogReaderTerm{30};
+/// Time that a fresh daemon waits for peers and for the host list before it reads the log.
+inline constexpr milliseconds kLogReadStartDelay{1000};
+/// Interval between snapshots of the rules in their stream.
+inline constexpr seconds kSnapshotInterval{600};
+/// Time that a fresh reader waits for another's snapshot, and that readers wait for each other.
+inline constexpr seconds kSnapshotDelay{30};
+/// Records of the configuration stream after which a snapshot is due.
+inline constexpr std::int64_t kSnapshotRecords = 64;
 /// Time that one call to the platform may take.
 inline constexpr milliseconds kPlatformTimeout{2000};
 
 // Decisions.
 
+/// Age of the last whole read of the log from which on a daemon without a link to any other
+/// availability zone takes no new work.
+inline constexpr milliseconds kCutOffTimeout{3000};
+/// Time between two steps from which on a daemon counts as having been paused.
+inline constexpr milliseconds kPauseTimeout{2500};
+/// Time for which a paused daemon takes no new work, so that it hears what it missed.
+inline constexpr milliseconds kPauseRecovery{1200};
+/// Time for which a member that is neither listed nor linked is remembered.
+inline constexpr seconds kForgetMember{60};
+/// Time after which a configuration is asked for from another member.
+inline constexpr milliseconds kConfigurationRequestTimeout{1000};
+/// Largest change of a configuration, in bytes, that is sent without regard to others.
+inline constexpr std::size_t kSmallConfigurationChange = 4096;
+/// Least interval between larger ones.
+inline constexpr milliseconds kConfigurationTextInterval{50};
+/// Configurations that a daemon remembers to send changes of.
+inline constexpr std::size_t kFormerConfigurations = 4;
+
 /// Interval between frame steps when no event arrives.
 inline constexpr milliseconds kStepInterval{20};
 /// Number of requests that a customer may have waiting at one entry unless its rule says otherwise.
@@ -69,6 +111,29 @@
 /// Interval between observations of a backend server by its agent.
 inline constexpr milliseconds kBackendPollInterval{500};
 
+// Capacity of a backend server.
+
+/// Largest window that an agent ever opens, in requests.
+inline constexpr std::uint32_t kMaxWindow = 512;
+/// Least time that an agent without memory watches one request before it admits two.
+inline constexpr milliseconds kFirstLook{1000};
+/// Time after which a window that wasn't used up is lowered to what was used.
+inline constexpr seconds kEvidenceTime{5};
+/// Time for which a window stays below the load at which its backend server crashed; doubles with
+/// each such crash.
+inline constexpr seconds kMinCeilingTime{10};
+inline constexpr seconds kMaxCeilingTime{1800};
+/// Interval at which a call looks whether it was cancelled or has stalled.
+inline constexpr milliseconds kCancelPollInterval{50};
+/// Longest time from a call to the first token of a stream.
+inline constexpr seconds kFirstTokenTimeout{30};
+/// Longest time from a call to the first part of an answer that doesn't stream.
+inline constexpr seconds kWholeAnswerTimeout{300};
+/// Longest silence between two parts of an answer.
+inline constexpr seconds kStallTimeout{15};
+/// Time for which a window stays at the load at which its backend server refused more.
+inline constexpr seconds kRefusalTime{5};
+
 // Claims of calls that may run once.
 
 /// Number of log streams that claims are split over by the hash of their key.
@@ -94,27 +159,9 @@
 /// Number of attempts that an agent remembers, so that an offer is taken once.
 inline constexpr std::size_t kMaxSeenOffers = 16384;
 
-// Capacity of a backend server.
+// Metrics.
 
-/// Largest window that an agent ever opens, in requests.
-inline constexpr std::uint32_t kMaxWindow = 512;
-/// Least time that an agent without memory watches one request before it admits two.
-inline constexpr milliseconds kFirstLook{1000};
-/// Time after which a window that wasn't used up is lowered to what was used.
-inline constexpr seconds kEvidenceTime{5};
-/// Time for which a window stays below the load at which its backend server crashed; doubles with
-/// each such crash.
-inline constexpr seconds kMinCeilingTime{10};
-inline constexpr seconds kMaxCeilingTime{1800};
-/// Interval at which a call looks whether it was cancelled or has stalled.
-inline constexpr milliseconds kCancelPollInterval{50};
-/// Longest time from a call to the first token of a stream.
-inline constexpr seconds kFirstTokenTimeout{30};
-/// Longest time from a call to the first part of an answer that doesn't stream.
-inline constexpr seconds kWholeAnswerTimeout{300};
-/// Longest silence between two parts of an answer.
-inline constexpr seconds kStallTimeout{15};
-/// Time for which a window stays at the load at which its backend server refused more.
-inline constexpr seconds kRefusalTime{5};
+/// Number of customers that have series of their own; the rest share the series `other`.
+inline constexpr std::size_t kMaxCustomerSeries = 200;
 
 }  // namespace lagoonwind::limits
--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -10,6 +10,7 @@
 
 #include "lagoonwind/base.h"
 #include "lagoonwind/rules.h"
+#include "lagoonwind/rules_diff.h"
 
 /// \file
 /// Decisions of a daemon. No I/O, no threads, no clock and no random source: time, events and the
@@ -43,6 +44,8 @@
   kKeyConflict,
   kKeyRunning,
   kKeyExpired,
+  /// The process reaches neither the log nor any other zone.
+  kCutOff,
 };
 
 /// Field name of an outcome or a reason in replies, logs and metrics. Thread safe.
@@ -167,6 +170,49 @@
 };
 /// Operators or the platform asked this process to leave.
 struct DrainRequested {};
+/// A member says that it is about to leave.
+struct MemberLeaving {
+  MemberId member;
+};
+/// What a member knows of the rules; comes with every heartbeat.
+struct VersionHeard {
+  MemberId member;
+  /// Offset of its configuration.
+  std::int64_t offset = -1;
+  /// It accounts for every record of the stream before this offset.
+  std::int64_t through = 0;
+  /// False if it knows of no read of the stream to its end.
+  bool log_seen = false;
+  /// Time since the stream was last known to be read to its end.
+  Duration log_age{0};
+};
+struct ConfigurationRequested {
+  MemberId member;
+  /// Offset of the configuration that the member has.
+  std::int64_t have = -1;
+};
+/// A configuration as a change of one that this process had; base -1 is the empty text.
+struct ConfigurationReceived {
+  MemberId member;
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  std::int64_t base = -1;
+  TextPatch patch;
+  /// Of the whole text; see ConfigurationDigest.
+  Digest digest;
+};
+struct RulesRecord {
+  std::int64_t offset = 0;
+  std::string data;
+};
+/// Answer to ReadRules.
+struct RulesRead {
+  /// False if the log didn't answer; the rest is then empty.
+  bool ok = false;
+  std::int64_t first_offset = 0;
+  std::int64_t next_offset = 0;
+  std::vector<RulesRecord> records;
+};
 
 // Events of an entry.
 
@@ -288,12 +334,13 @@
   std::uint32_t stream = 0;
 };
 
-using Event =
-    std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
-                 RequestArrived, CallerLeft, AnswerBegan, AttemptQueued, AttemptStarted,
-                 AttemptEnded, GrantReceived, AgentReported, OfferReceived, CancelReceived,
-                 GrantDeclined, DemandReported, ServiceAccrued, AnswerStarted, AttemptFinished,
-                 BackendObserved, ClaimAppended, ClaimAppendFailed, ClaimsRead, ClaimsReadFailed>;
+using Event = std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
+                           RequestArrived, CallerLeft, AnswerBegan, AttemptQueued, AttemptStarted,
+                           AttemptEnded, GrantReceived, AgentReported, OfferReceived,
+                           CancelReceived, GrantDeclined, DemandReported, ServiceAccrued,
+                           AnswerStarted, AttemptFinished, BackendObserved, MemberLeaving,
+                           VersionHeard, ConfigurationRequested, ConfigurationReceived, RulesRead,
+                           ClaimAppended, ClaimAppendFailed, ClaimsRead, ClaimsReadFailed>;
 
 // Actions of both roles.
 
@@ -304,6 +351,45 @@
 struct CloseLink {
   MemberId member;
 };
+/// Tell a member, or every linked one if it is invalid, that this process leaves.
+struct SendLeaving {
+  MemberId member;
+};
+/// Read the stream of rules; RulesRead answers.
+struct ReadRules {
+  std::int64_t from = 0;
+};
+/// Append a record to the stream of rules. Nothing answers.
+struct AppendRules {
+  std::string record;
+};
+/// The configuration in force or what is known of the stream changed.
+struct PublishConfiguration {
+  std::shared_ptr<const Configuration> configuration;
+  std::int64_t through = 0;
+};
+/// What heartbeats say from now on.
+struct AnnounceVersion {
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  bool log_seen = false;
+  Time log_seen_at;
+  /// Send it to every linked member at once.
+  bool urgent = false;
+};
+/// Ask a member for its configuration; ConfigurationReceived may answer.
+struct RequestConfiguration {
+  MemberId member;
+  std::int64_t have = -1;
+};
+struct SendConfiguration {
+  MemberId member;
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  std::int64_t base = -1;
+  TextPatch patch;
+  Digest digest;
+};
 
 // Actions of an entry.
 
@@ -385,7 +471,9 @@
 
 using Action = std::variant<OpenLink, CloseLink, SendOffer, SendCancel, SendDecline, SendDemand,
                             FinishRequest, StartAttempt, QueueAttempt, RefuseAttempt, CancelAttempt,
-                            SendGrant, SendAgentReport, AppendClaim, ReadClaims, RepeatAnswer>;
+                            SendGrant, SendAgentReport, SendLeaving, ReadRules, AppendRules,
+                            PublishConfiguration, AnnounceVersion, RequestConfiguration,
+                            SendConfiguration, AppendClaim, ReadClaims, RepeatAnswer>;
 
 /// What was decided; `Describe` gives it in words.
 enum class DecisionKind {
@@ -429,6 +517,19 @@
 /// A decision in plain words, without names. Thread safe.
 std::string Describe(const Decision& decision);
 
+/// Names of what a decision is about; empty ones are left out of the sentence.
+struct DecisionNames {
+  std::string request;
+  std::string customer;
+  std::string member;
+};
+
+/// A decision as a sentence for operators. Thread safe.
+/// \param role  Of the process that decided; the member is of the other role.
+std::string Explain(const Decision& decision, Role role, const DecisionNames& names);
+/// A reason as half a sentence for operators. Thread safe.
+std::string_view Explain(Reason reason);
+
 struct CustomerStats {
   CustomerId customer;
   std::uint32_t waiting = 0;
@@ -446,6 +547,10 @@
 struct Stats {
   std::int64_t configuration_offset = -1;
   bool draining = false;
+  /// Why the process takes no new work; kNone if it does.
+  Reason closed = Reason::kNone;
+  /// True if the process follows the stream of rules itself.
+  bool reads_log = false;
   std::uint32_t window = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
@@ -455,6 +560,9 @@
   std::vector<MemberStats> members;
 };
 
+/// Digest that goes with a configuration's text from process to process. Thread safe.
+Digest ConfigurationDigest(std::int64_t offset, std::string_view text);
+
 /// Parameters of a Policy; the defaults suit tests.
 struct Init {
   Role role = Role::kEntry;
@@ -479,7 +587,8 @@
 
   [[nodiscard]] virtual Stats stats() const = 0;
 
-  /// Decisions about a request, customer or member, oldest first. Invalid handles match nothing.
+  /// Decisions about a request, customer or member, oldest first. Invalid handles match nothing;
+  /// the process itself as member matches all.
   [[nodiscard]] virtual std::vector<Decision> Explain(RequestId request, CustomerId customer,
                                                       MemberId member) const = 0;
 };
--- a/packages/runtime/src/attempt_run.cc
+++ b/packages/runtime/src/attempt_run.cc
@@ -97,12 +97,12 @@
   message.head.status = static_cast<std::int32_t>(head.status);
   message.head.content_type = head.content_type;
   context_.links.Send(entry_, message);
-  kept_.status = head.status;
-  kept_.content_type = head.content_type;
   streams_ = head.content_type.starts_with(kEventStream);
   if (!streams_) {
     context_.policy.Post(policy::AnswerStarted{.attempt = id_});
   }
+  kept_.status = head.status;
+  kept_.content_type = head.content_type;
 }
 
 void AttemptRun::OnData(std::string_view data, std::uint32_t tokens) {
--- a/packages/runtime/src/link_manager.h
+++ b/packages/runtime/src/link_manager.h
@@ -25,6 +25,8 @@
   std::string zone;
   Incarnation incarnation;
   std::string key;
+  /// Counts what the links carry; outlives them.
+  LinkTraffic* traffic = nullptr;
 };
 
 /// Opens, accepts and keeps the links of a process; at most one to each member, the newest wins.
@@ -53,8 +55,13 @@
   void Shutdown();
   /// True if no link is established. Thread safe.
   [[nodiscard]] bool empty() const;
+  /// Carries out an action on links, heartbeats or the spread of the configuration. Thread safe.
+  /// \return False if it isn't one.
+  bool Execute(const policy::Action& action);
 
   void OnLinkMessage(Link& link, wire::Message message) override;
+  wire::Message Heartbeat() override;
+  LinkTraffic& traffic() override { return *options_.traffic; }
 
  private:
   struct Established {
@@ -68,6 +75,9 @@
   void Register(const std::shared_ptr<Link>& link, const wire::gen::Hello& hello,
                 const std::string& address);
   void Unregister(const std::shared_ptr<Link>& link);
+  void Announce(const policy::AnnounceVersion& version);
+  void SendToAll(const wire::Message& message);
+  void SendLeaving(const policy::SendLeaving& leaving);
   [[nodiscard]] bool Wanted(const policy::Member& member) const;
   [[nodiscard]] wire::gen::Hello OwnHello() const;
 
@@ -80,6 +90,8 @@
   absl::flat_hash_map<MemberId, Established> links_;
   /// Address at which each wanted member is opened.
   absl::flat_hash_map<MemberId, std::string> wanted_;
+  /// What heartbeats say.
+  policy::AnnounceVersion version_;
 };
 
 }  // namespace lagoonwind::runtime
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -522,6 +522,14 @@
 void Ping::__set_configuration_offset(const int64_t val) {
   this->configuration_offset = val;
 }
+
+void Ping::__set_rules_through(const int64_t val) {
+  this->rules_through = val;
+}
+
+void Ping::__set_log_age_ms(const int64_t val) {
+  this->log_age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ping& obj)
 {
   obj.printTo(out);
@@ -558,6 +566,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rules_through);
+          this->__isset.rules_through = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->log_age_ms);
+          this->__isset.log_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -579,6 +603,14 @@
   xfer += oprot->writeI64(this->configuration_offset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rules_through", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->rules_through);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("log_age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->log_age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -587,24 +619,34 @@
 void swap(Ping &a, Ping &b) {
   using ::std::swap;
   swap(a.configuration_offset, b.configuration_offset);
+  swap(a.rules_through, b.rules_through);
+  swap(a.log_age_ms, b.log_age_ms);
   swap(a.__isset, b.__isset);
 }
 
 Ping::Ping(const Ping& other12) noexcept {
   configuration_offset = other12.configuration_offset;
+  rules_through = other12.rules_through;
+  log_age_ms = other12.log_age_ms;
   __isset = other12.__isset;
 }
 Ping::Ping(Ping&& other13) noexcept {
   configuration_offset = other13.configuration_offset;
+  rules_through = other13.rules_through;
+  log_age_ms = other13.log_age_ms;
   __isset = other13.__isset;
 }
 Ping& Ping::operator=(const Ping& other14) noexcept {
   configuration_offset = other14.configuration_offset;
+  rules_through = other14.rules_through;
+  log_age_ms = other14.log_age_ms;
   __isset = other14.__isset;
   return *this;
 }
 Ping& Ping::operator=(Ping&& other15) noexcept {
   configuration_offset = other15.configuration_offset;
+  rules_through = other15.rules_through;
+  log_age_ms = other15.log_age_ms;
   __isset = other15.__isset;
   return *this;
 }
@@ -612,6 +654,342 @@
   using ::apache::thrift::to_string;
   out << "Ping(";
   out << "configuration_offset=" << to_string(configuration_offset);
+  out << ", " << "rules_through=" << to_string(rules_through);
+  out << ", " << "log_age_ms=" << to_string(log_age_ms);
+  out << ")";
+}
+
+
+ConfigurationRequest::~ConfigurationRequest() noexcept {
+}
+
+
+void ConfigurationRequest::__set_have(const int64_t val) {
+  this->have = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have);
+          this->__isset.have = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigurationRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationRequest");
+
+  xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->have);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationRequest &a, ConfigurationRequest &b) {
+  using ::std::swap;
+  swap(a.have, b.have);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigurationRequest::ConfigurationRequest(const ConfigurationRequest& other16) noexcept {
+  have = other16.have;
+  __isset = other16.__isset;
+}
+ConfigurationRequest::ConfigurationRequest(ConfigurationRequest&& other17) noexcept {
+  have = other17.have;
+  __isset = other17.__isset;
+}
+ConfigurationRequest& ConfigurationRequest::operator=(const ConfigurationRequest& other18) noexcept {
+  have = other18.have;
+  __isset = other18.__isset;
+  return *this;
+}
+ConfigurationRequest& ConfigurationRequest::operator=(ConfigurationRequest&& other19) noexcept {
+  have = other19.have;
+  __isset = other19.__isset;
+  return *this;
+}
+void ConfigurationRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationRequest(";
+  out << "have=" << to_string(have);
+  out << ")";
+}
+
+
+ConfigurationText::~ConfigurationText() noexcept {
+}
+
+
+void ConfigurationText::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void ConfigurationText::__set_through(const int64_t val) {
+  this->through = val;
+}
+
+void ConfigurationText::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void ConfigurationText::__set_prefix(const int64_t val) {
+  this->prefix = val;
+}
+
+void ConfigurationText::__set_suffix(const int64_t val) {
+  this->suffix = val;
+}
+
+void ConfigurationText::__set_middle(const std::string& val) {
+  this->middle = val;
+}
+
+void ConfigurationText::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationText& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationText::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->through);
+          this->__isset.through = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefix);
+          this->__isset.prefix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->suffix);
+          this->__isset.suffix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->middle);
+          this->__isset.middle = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigurationText::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationText");
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("through", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->through);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefix", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->prefix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suffix", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->suffix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("middle", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->middle);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationText &a, ConfigurationText &b) {
+  using ::std::swap;
+  swap(a.offset, b.offset);
+  swap(a.through, b.through);
+  swap(a.base, b.base);
+  swap(a.prefix, b.prefix);
+  swap(a.suffix, b.suffix);
+  swap(a.middle, b.middle);
+  swap(a.digest, b.digest);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigurationText::ConfigurationText(const ConfigurationText& other20) {
+  offset = other20.offset;
+  through = other20.through;
+  base = other20.base;
+  prefix = other20.prefix;
+  suffix = other20.suffix;
+  middle = other20.middle;
+  digest = other20.digest;
+  __isset = other20.__isset;
+}
+ConfigurationText::ConfigurationText(ConfigurationText&& other21) noexcept {
+  offset = other21.offset;
+  through = other21.through;
+  base = other21.base;
+  prefix = other21.prefix;
+  suffix = other21.suffix;
+  middle = std::move(other21.middle);
+  digest = other21.digest;
+  __isset = other21.__isset;
+}
+ConfigurationText& ConfigurationText::operator=(const ConfigurationText& other22) {
+  offset = other22.offset;
+  through = other22.through;
+  base = other22.base;
+  prefix = other22.prefix;
+  suffix = other22.suffix;
+  middle = other22.middle;
+  digest = other22.digest;
+  __isset = other22.__isset;
+  return *this;
+}
+ConfigurationText& ConfigurationText::operator=(ConfigurationText&& other23) noexcept {
+  offset = other23.offset;
+  through = other23.through;
+  base = other23.base;
+  prefix = other23.prefix;
+  suffix = other23.suffix;
+  middle = std::move(other23.middle);
+  digest = other23.digest;
+  __isset = other23.__isset;
+  return *this;
+}
+void ConfigurationText::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationText(";
+  out << "offset=" << to_string(offset);
+  out << ", " << "through=" << to_string(through);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "prefix=" << to_string(prefix);
+  out << ", " << "suffix=" << to_string(suffix);
+  out << ", " << "middle=" << to_string(middle);
+  out << ", " << "digest=" << to_string(digest);
   out << ")";
 }
 
@@ -670,18 +1048,18 @@
   (void) b;
 }
 
-Leaving::Leaving(const Leaving& other16) noexcept {
-  (void) other16;
+Leaving::Leaving(const Leaving& other24) noexcept {
+  (void) other24;
 }
-Leaving::Leaving(Leaving&& other17) noexcept {
-  (void) other17;
+Leaving::Leaving(Leaving&& other25) noexcept {
+  (void) other25;
 }
-Leaving& Leaving::operator=(const Leaving& other18) noexcept {
-  (void) other18;
+Leaving& Leaving::operator=(const Leaving& other26) noexcept {
+  (void) other26;
   return *this;
 }
-Leaving& Leaving::operator=(Leaving&& other19) noexcept {
-  (void) other19;
+Leaving& Leaving::operator=(Leaving&& other27) noexcept {
+  (void) other27;
   return *this;
 }
 void Leaving::printTo(std::ostream& out) const {
@@ -1004,78 +1382,78 @@
   swap(a.__isset, b.__isset);
 }
 
-Offer::Offer(const Offer& other20) {
-  attempt = other20.attempt;
-  customer = other20.customer;
-  target = other20.target;
-  cost_hint = other20.cost_hint;
-  digest = other20.digest;
-  repeatable = other20.repeatable;
-  key = other20.key;
-  grant = other20.grant;
-  method = other20.method;
-  path = other20.path;
-  content_type = other20.content_type;
-  body = other20.body;
-  customer_name = other20.customer_name;
-  idempotency_key = other20.idempotency_key;
-  key_age_us = other20.key_age_us;
-  __isset = other20.__isset;
+Offer::Offer(const Offer& other28) {
+  attempt = other28.attempt;
+  customer = other28.customer;
+  target = other28.target;
+  cost_hint = other28.cost_hint;
+  digest = other28.digest;
+  repeatable = other28.repeatable;
+  key = other28.key;
+  grant = other28.grant;
+  method = other28.method;
+  path = other28.path;
+  content_type = other28.content_type;
+  body = other28.body;
+  customer_name = other28.customer_name;
+  idempotency_key = other28.idempotency_key;
+  key_age_us = other28.key_age_us;
+  __isset = other28.__isset;
 }
-Offer::Offer(Offer&& other21) noexcept {
-  attempt = std::move(other21.attempt);
-  customer = other21.customer;
-  target = other21.target;
-  cost_hint = other21.cost_hint;
-  digest = other21.digest;
-  repeatable = other21.repeatable;
-  key = other21.key;
-  grant = other21.grant;
-  method = std::move(other21.method);
-  path = std::move(other21.path);
-  content_type = std::move(other21.content_type);
-  body = std::move(other21.body);
-  customer_name = std::move(other21.customer_name);
-  idempotency_key = std::move(other21.idempotency_key);
-  key_age_us = other21.key_age_us;
-  __isset = other21.__isset;
+Offer::Offer(Offer&& other29) noexcept {
+  attempt = std::move(other29.attempt);
+  customer = other29.customer;
+  target = other29.target;
+  cost_hint = other29.cost_hint;
+  digest = other29.digest;
+  repeatable = other29.repeatable;
+  key = other29.key;
+  grant = other29.grant;
+  method = std::move(other29.method);
+  path = std::move(other29.path);
+  content_type = std::move(other29.content_type);
+  body = std::move(other29.body);
+  customer_name = std::move(other29.customer_name);
+  idempotency_key = std::move(other29.idempotency_key);
+  key_age_us = other29.key_age_us;
+  __isset = other29.__isset;
 }
-Offer& Offer::operator=(const Offer& other22) {
-  attempt = other22.attempt;
-  customer = other22.customer;
-  target = other22.target;
-  cost_hint = other22.cost_hint;
-  digest = other22.digest;
-  repeatable = other22.repeatable;
-  key = other22.key;
-  grant = other22.grant;
-  method = other22.method;
-  path = other22.path;
-  content_type = other22.content_type;
-  body = other22.body;
-  customer_name = other22.customer_name;
-  idempotency_key = other22.idempotency_key;
-  key_age_us = other22.key_age_us;
-  __isset = other22.__isset;
+Offer& Offer::operator=(const Offer& other30) {
+  attempt = other30.attempt;
+  customer = other30.customer;
+  target = other30.target;
+  cost_hint = other30.cost_hint;
+  digest = other30.digest;
+  repeatable = other30.repeatable;
+  key = other30.key;
+  grant = other30.grant;
+  method = other30.method;
+  path = other30.path;
+  content_type = other30.content_type;
+  body = other30.body;
+  customer_name = other30.customer_name;
+  idempotency_key = other30.idempotency_key;
+  key_age_us = other30.key_age_us;
+  __isset = other30.__isset;
   return *this;
 }
-Offer& Offer::operator=(Offer&& other23) noexcept {
-  attempt = std::move(other23.attempt);
-  customer = other23.customer;
-  target = other23.target;
-  cost_hint = other23.cost_hint;
-  digest = other23.digest;
-  repeatable = other23.repeatable;
-  key = other23.key;
-  grant = other23.grant;
-  method = std::move(other23.method);
-  path = std::move(other23.path);
-  content_type = std::move(other23.content_type);
-  body = std::move(other23.body);
-  customer_name = std::move(other23.customer_name);
-  idempotency_key = std::move(other23.idempotency_key);
-  key_age_us = other23.key_age_us;
-  __isset = other23.__isset;
+Offer& Offer::operator=(Offer&& other31) noexcept {
+  attempt = std::move(other31.attempt);
+  customer = other31.customer;
+  target = other31.target;
+  cost_hint = other31.cost_hint;
+  digest = other31.digest;
+  repeatable = other31.repeatable;
+  key = other31.key;
+  grant = other31.grant;
+  method = std::move(other31.method);
+  path = std::move(other31.path);
+  content_type = std::move(other31.content_type);
+  body = std::move(other31.body);
+  customer_name = std::move(other31.customer_name);
+  idempotency_key = std::move(other31.idempotency_key);
+  key_age_us = other31.key_age_us;
+  __isset = other31.__isset;
   return *this;
 }
 void Offer::printTo(std::ostream& out) const {
@@ -1175,22 +1553,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Queued::Queued(const Queued& other24) noexcept {
-  attempt = other24.attempt;
-  __isset = other24.__isset;
+Queued::Queued(const Queued& other32) noexcept {
+  attempt = other32.attempt;
+  __isset = other32.__isset;
 }
-Queued::Queued(Queued&& other25) noexcept {
-  attempt = std::move(other25.attempt);
-  __isset = other25.__isset;
+Queued::Queued(Queued&& other33) noexcept {
+  attempt = std::move(other33.attempt);
+  __isset = other33.__isset;
 }
-Queued& Queued::operator=(const Queued& other26) noexcept {
-  attempt = other26.attempt;
-  __isset = other26.__isset;
+Queued& Queued::operator=(const Queued& other34) noexcept {
+  attempt = other34.attempt;
+  __isset = other34.__isset;
   return *this;
 }
-Queued& Queued::operator=(Queued&& other27) noexcept {
-  attempt = std::move(other27.attempt);
-  __isset = other27.__isset;
+Queued& Queued::operator=(Queued&& other35) noexcept {
+  attempt = std::move(other35.attempt);
+  __isset = other35.__isset;
   return *this;
 }
 void Queued::printTo(std::ostream& out) const {
@@ -1276,22 +1654,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Started::Started(const Started& other28) noexcept {
-  attempt = other28.attempt;
-  __isset = other28.__isset;
+Started::Started(const Started& other36) noexcept {
+  attempt = other36.attempt;
+  __isset = other36.__isset;
 }
-Started::Started(Started&& other29) noexcept {
-  attempt = std::move(other29.attempt);
-  __isset = other29.__isset;
+Started::Started(Started&& other37) noexcept {
+  attempt = std::move(other37.attempt);
+  __isset = other37.__isset;
 }
-Started& Started::operator=(const Started& other30) noexcept {
-  attempt = other30.attempt;
-  __isset = other30.__isset;
+Started& Started::operator=(const Started& other38) noexcept {
+  attempt = other38.attempt;
+  __isset = other38.__isset;
   return *this;
 }
-Started& Started::operator=(Started&& other31) noexcept {
-  attempt = std::move(other31.attempt);
-  __isset = other31.__isset;
+Started& Started::operator=(Started&& other39) noexcept {
+  attempt = std::move(other39.attempt);
+  __isset = other39.__isset;
   return *this;
 }
 void Started::printTo(std::ostream& out) const {
@@ -1411,30 +1789,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Head::Head(const Head& other32) {
-  attempt = other32.attempt;
-  status = other32.status;
-  content_type = other32.content_type;
-  __isset = other32.__isset;
+Head::Head(const Head& other40) {
+  attempt = other40.attempt;
+  status = other40.status;
+  content_type = other40.content_type;
+  __isset = other40.__isset;
 }
-Head::Head(Head&& other33) noexcept {
-  attempt = std::move(other33.attempt);
-  status = other33.status;
-  content_type = std::move(other33.content_type);
-  __isset = other33.__isset;
+Head::Head(Head&& other41) noexcept {
+  attempt = std::move(other41.attempt);
+  status = other41.status;
+  content_type = std::move(other41.content_type);
+  __isset = other41.__isset;
 }
-Head& Head::operator=(const Head& other34) {
-  attempt = other34.attempt;
-  status = other34.status;
-  content_type = other34.content_type;
-  __isset = other34.__isset;
+Head& Head::operator=(const Head& other42) {
+  attempt = other42.attempt;
+  status = other42.status;
+  content_type = other42.content_type;
+  __isset = other42.__isset;
   return *this;
 }
-Head& Head::operator=(Head&& other35) noexcept {
-  attempt = std::move(other35.attempt);
-  status = other35.status;
-  content_type = std::move(other35.content_type);
-  __isset = other35.__isset;
+Head& Head::operator=(Head&& other43) noexcept {
+  attempt = std::move(other43.attempt);
+  status = other43.status;
+  content_type = std::move(other43.content_type);
+  __isset = other43.__isset;
   return *this;
 }
 void Head::printTo(std::ostream& out) const {
@@ -1556,30 +1934,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other36) {
-  attempt = other36.attempt;
-  offset = other36.offset;
-  data = other36.data;
-  __isset = other36.__isset;
+Chunk::Chunk(const Chunk& other44) {
+  attempt = other44.attempt;
+  offset = other44.offset;
+  data = other44.data;
+  __isset = other44.__isset;
 }
-Chunk::Chunk(Chunk&& other37) noexcept {
-  attempt = std::move(other37.attempt);
-  offset = other37.offset;
-  data = std::move(other37.data);
-  __isset = other37.__isset;
+Chunk::Chunk(Chunk&& other45) noexcept {
+  attempt = std::move(other45.attempt);
+  offset = other45.offset;
+  data = std::move(other45.data);
+  __isset = other45.__isset;
 }
-Chunk& Chunk::operator=(const Chunk& other38) {
-  attempt = other38.attempt;
-  offset = other38.offset;
-  data = other38.data;
-  __isset = other38.__isset;
+Chunk& Chunk::operator=(const Chunk& other46) {
+  attempt = other46.attempt;
+  offset = other46.offset;
+  data = other46.data;
+  __isset = other46.__isset;
   return *this;
 }
-Chunk& Chunk::operator=(Chunk&& other39) noexcept {
-  attempt = std::move(other39.attempt);
-  offset = other39.offset;
-  data = std::move(other39.data);
-  __isset = other39.__isset;
+Chunk& Chunk::operator=(Chunk&& other47) noexcept {
+  attempt = std::move(other47.attempt);
+  offset = other47.offset;
+  data = std::move(other47.data);
+  __isset = other47.__isset;
   return *this;
 }
 void Chunk::printTo(std::ostream& out) const {
@@ -1718,34 +2096,34 @@
   swap(a.__isset, b.__isset);
 }
 
-End::End(const End& other40) noexcept {
-  attempt = other40.attempt;
-  result = other40.result;
-  reason = other40.reason;
-  length = other40.length;
-  __isset = other40.__isset;
+End::End(const End& other48) noexcept {
+  attempt = other48.attempt;
+  result = other48.result;
+  reason = other48.reason;
+  length = other48.length;
+  __isset = other48.__isset;
 }
-End::End(End&& other41) noexcept {
-  attempt = std::move(other41.attempt);
-  result = other41.result;
-  reason = other41.reason;
-  length = other41.length;
-  __isset = other41.__isset;
+End::End(End&& other49) noexcept {
+  attempt = std::move(other49.attempt);
+  result = other49.result;
+  reason = other49.reason;
+  length = other49.length;
+  __isset = other49.__isset;
 }
-End& End::operator=(const End& other42) noexcept {
-  attempt = other42.attempt;
-  result = other42.result;
-  reason = other42.reason;
-  length = other42.length;
-  __isset = other42.__isset;
+End& End::operator=(const End& other50) noexcept {
+  attempt = other50.attempt;
+  result = other50.result;
+  reason = other50.reason;
+  length = other50.length;
+  __isset = other50.__isset;
   return *this;
 }
-End& End::operator=(End&& other43) noexcept {
-  attempt = std::move(other43.attempt);
-  result = other43.result;
-  reason = other43.reason;
-  length = other43.length;
-  __isset = other43.__isset;
+End& End::operator=(End&& other51) noexcept {
+  attempt = std::move(other51.attempt);
+  result = other51.result;
+  reason = other51.reason;
+  length = other51.length;
+  __isset = other51.__isset;
   return *this;
 }
 void End::printTo(std::ostream& out) const {
@@ -1834,22 +2212,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other44) noexcept {
-  attempt = other44.attempt;
-  __isset = other44.__isset;
+Cancel::Cancel(const Cancel& other52) noexcept {
+  attempt = other52.attempt;
+  __isset = other52.__isset;
 }
-Cancel::Cancel(Cancel&& other45) noexcept {
-  attempt = std::move(other45.attempt);
-  __isset = other45.__isset;
+Cancel::Cancel(Cancel&& other53) noexcept {
+  attempt = std::move(other53.attempt);
+  __isset = other53.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other46) noexcept {
-  attempt = other46.attempt;
-  __isset = other46.__isset;
+Cancel& Cancel::operator=(const Cancel& other54) noexcept {
+  attempt = other54.attempt;
+  __isset = other54.__isset;
   return *this;
 }
-Cancel& Cancel::operator=(Cancel&& other47) noexcept {
-  attempt = std::move(other47.attempt);
-  __isset = other47.__isset;
+Cancel& Cancel::operator=(Cancel&& other55) noexcept {
+  attempt = std::move(other55.attempt);
+  __isset = other55.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -2003,38 +2381,38 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandItem::DemandItem(const DemandItem& other48) noexcept {
-  customer = other48.customer;
-  target = other48.target;
-  count = other48.count;
-  oldest_age_us = other48.oldest_age_us;
-  reach = other48.reach;
-  __isset = other48.__isset;
-}
-DemandItem::DemandItem(DemandItem&& other49) noexcept {
-  customer = other49.customer;
-  target = other49.target;
-  count = other49.count;
-  oldest_age_us = other49.oldest_age_us;
-  reach = other49.reach;
-  __isset = other49.__isset;
-}
-DemandItem& DemandItem::operator=(const DemandItem& other50) noexcept {
-  customer = other50.customer;
-  target = other50.target;
-  count = other50.count;
-  oldest_age_us = other50.oldest_age_us;
-  reach = other50.reach;
-  __isset = other50.__isset;
+DemandItem::DemandItem(const DemandItem& other56) noexcept {
+  customer = other56.customer;
+  target = other56.target;
+  count = other56.count;
+  oldest_age_us = other56.oldest_age_us;
+  reach = other56.reach;
+  __isset = other56.__isset;
+}
+DemandItem::DemandItem(DemandItem&& other57) noexcept {
+  customer = other57.customer;
+  target = other57.target;
+  count = other57.count;
+  oldest_age_us = other57.oldest_age_us;
+  reach = other57.reach;
+  __isset = other57.__isset;
+}
+DemandItem& DemandItem::operator=(const DemandItem& other58) noexcept {
+  customer = other58.customer;
+  target = other58.target;
+  count = other58.count;
+  oldest_age_us = other58.oldest_age_us;
+  reach = other58.reach;
+  __isset = other58.__isset;
   return *this;
 }
-DemandItem& DemandItem::operator=(DemandItem&& other51) noexcept {
-  customer = other51.customer;
-  target = other51.target;
-  count = other51.count;
-  oldest_age_us = other51.oldest_age_us;
-  reach = other51.reach;
-  __isset = other51.__isset;
+DemandItem& DemandItem::operator=(DemandItem&& other59) noexcept {
+  customer = other59.customer;
+  target = other59.target;
+  count = other59.count;
+  oldest_age_us = other59.oldest_age_us;
+  reach = other59.reach;
+  __isset = other59.__isset;
   return *this;
 }
 void DemandItem::printTo(std::ostream& out) const {
@@ -2088,14 +2466,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->items.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->items.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->items[_i56].read(iprot);
+              xfer += this->items[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2124,10 +2502,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DemandItem> ::const_iterator _iter57;
-    for (_iter57 = this->items.begin(); _iter57 != this->items.end(); ++_iter57)
+    std::vector<DemandItem> ::const_iterator _iter65;
+    for (_iter65 = this->items.begin(); _iter65 != this->items.end(); ++_iter65)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2144,22 +2522,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other58) {
-  items = other58.items;
-  __isset = other58.__isset;
+Demand::Demand(const Demand& other66) {
+  items = other66.items;
+  __isset = other66.__isset;
 }
-Demand::Demand(Demand&& other59) noexcept {
-  items = std::move(other59.items);
-  __isset = other59.__isset;
+Demand::Demand(Demand&& other67) noexcept {
+  items = std::move(other67.items);
+  __isset = other67.__isset;
 }
-Demand& Demand::operator=(const Demand& other60) {
-  items = other60.items;
-  __isset = other60.__isset;
+Demand& Demand::operator=(const Demand& other68) {
+  items = other68.items;
+  __isset = other68.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other61) noexcept {
-  items = std::move(other61.items);
-  __isset = other61.__isset;
+Demand& Demand::operator=(Demand&& other69) noexcept {
+  items = std::move(other69.items);
+  __isset = other69.__isset;
   return *this;
 }
 void Demand::printTo(std::ostream& out) const {
@@ -2279,30 +2657,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Grant::Grant(const Grant& other62) noexcept {
-  id = other62.id;
-  customer = other62.customer;
-  target = other62.target;
-  __isset = other62.__isset;
+Grant::Grant(const Grant& other70) noexcept {
+  id = other70.id;
+  customer = other70.customer;
+  target = other70.target;
+  __isset = other70.__isset;
 }
-Grant::Grant(Grant&& other63) noexcept {
-  id = other63.id;
-  customer = other63.customer;
-  target = other63.target;
-  __isset = other63.__isset;
+Grant::Grant(Grant&& other71) noexcept {
+  id = other71.id;
+  customer = other71.customer;
+  target = other71.target;
+  __isset = other71.__isset;
 }
-Grant& Grant::operator=(const Grant& other64) noexcept {
-  id = other64.id;
-  customer = other64.customer;
-  target = other64.target;
-  __isset = other64.__isset;
+Grant& Grant::operator=(const Grant& other72) noexcept {
+  id = other72.id;
+  customer = other72.customer;
+  target = other72.target;
+  __isset = other72.__isset;
   return *this;
 }
-Grant& Grant::operator=(Grant&& other65) noexcept {
-  id = other65.id;
-  customer = other65.customer;
-  target = other65.target;
-  __isset = other65.__isset;
+Grant& Grant::operator=(Grant&& other73) noexcept {
+  id = other73.id;
+  customer = other73.customer;
+  target = other73.target;
+  __isset = other73.__isset;
   return *this;
 }
 void Grant::printTo(std::ostream& out) const {
@@ -2390,22 +2768,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Decline::Decline(const Decline& other66) noexcept {
-  id = other66.id;
-  __isset = other66.__isset;
+Decline::Decline(const Decline& other74) noexcept {
+  id = other74.id;
+  __isset = other74.__isset;
 }
-Decline::Decline(Decline&& other67) noexcept {
-  id = other67.id;
-  __isset = other67.__isset;
+Decline::Decline(Decline&& other75) noexcept {
+  id = other75.id;
+  __isset = other75.__isset;
 }
-Decline& Decline::operator=(const Decline& other68) noexcept {
-  id = other68.id;
-  __isset = other68.__isset;
+Decline& Decline::operator=(const Decline& other76) noexcept {
+  id = other76.id;
+  __isset = other76.__isset;
   return *this;
 }
-Decline& Decline::operator=(Decline&& other69) noexcept {
-  id = other69.id;
-  __isset = other69.__isset;
+Decline& Decline::operator=(Decline&& other77) noexcept {
+  id = other77.id;
+  __isset = other77.__isset;
   return *this;
 }
 void Decline::printTo(std::ostream& out) const {
@@ -2471,14 +2849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->targets.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->targets.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += iprot->readI64(this->targets[_i74]);
+              xfer += iprot->readI64(this->targets[_i82]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2539,10 +2917,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->targets.size()));
-    std::vector<int64_t> ::const_iterator _iter75;
-    for (_iter75 = this->targets.begin(); _iter75 != this->targets.end(); ++_iter75)
+    std::vector<int64_t> ::const_iterator _iter83;
+    for (_iter83 = this->targets.begin(); _iter83 != this->targets.end(); ++_iter83)
     {
-      xfer += oprot->writeI64((*_iter75));
+      xfer += oprot->writeI64((*_iter83));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2579,38 +2957,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentReport::AgentReport(const AgentReport& other76) {
-  targets = other76.targets;
-  free = other76.free;
-  window = other76.window;
-  draining = other76.draining;
-  configuration_offset = other76.configuration_offset;
-  __isset = other76.__isset;
+AgentReport::AgentReport(const AgentReport& other84) {
+  targets = other84.targets;
+  free = other84.free;
+  window = other84.window;
+  draining = other84.draining;
+  configuration_offset = other84.configuration_offset;
+  __isset = other84.__isset;
 }
-AgentReport::AgentReport(AgentReport&& other77) noexcept {
-  targets = std::move(other77.targets);
-  free = other77.free;
-  window = other77.window;
-  draining = other77.draining;
-  configuration_offset = other77.configuration_offset;
-  __isset = other77.__isset;
+AgentReport::AgentReport(AgentReport&& other85) noexcept {
+  targets = std::move(other85.targets);
+  free = other85.free;
+  window = other85.window;
+  draining = other85.draining;
+  configuration_offset = other85.configuration_offset;
+  __isset = other85.__isset;
 }
-AgentReport& AgentReport::operator=(const AgentReport& other78) {
-  targets = other78.targets;
-  free = other78.free;
-  window = other78.window;
-  draining = other78.draining;
-  configuration_offset = other78.configuration_offset;
-  __isset = other78.__isset;
+AgentReport& AgentReport::operator=(const AgentReport& other86) {
+  targets = other86.targets;
+  free = other86.free;
+  window = other86.window;
+  draining = other86.draining;
+  configuration_offset = other86.configuration_offset;
+  __isset = other86.__isset;
   return *this;
 }
-AgentReport& AgentReport::operator=(AgentReport&& other79) noexcept {
-  targets = std::move(other79.targets);
-  free = other79.free;
-  window = other79.window;
-  draining = other79.draining;
-  configuration_offset = other79.configuration_offset;
-  __isset = other79.__isset;
+AgentReport& AgentReport::operator=(AgentReport&& other87) noexcept {
+  targets = std::move(other87.targets);
+  free = other87.free;
+  window = other87.window;
+  draining = other87.draining;
+  configuration_offset = other87.configuration_offset;
+  __isset = other87.__isset;
   return *this;
 }
 void AgentReport::printTo(std::ostream& out) const {
@@ -2734,30 +3112,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptAnswer::KeptAnswer(const KeptAnswer& other80) {
-  status = other80.status;
-  content_type = other80.content_type;
-  body = other80.body;
-  __isset = other80.__isset;
+KeptAnswer::KeptAnswer(const KeptAnswer& other88) {
+  status = other88.status;
+  content_type = other88.content_type;
+  body = other88.body;
+  __isset = other88.__isset;
 }
-KeptAnswer::KeptAnswer(KeptAnswer&& other81) noexcept {
-  status = other81.status;
-  content_type = std::move(other81.content_type);
-  body = std::move(other81.body);
-  __isset = other81.__isset;
+KeptAnswer::KeptAnswer(KeptAnswer&& other89) noexcept {
+  status = other89.status;
+  content_type = std::move(other89.content_type);
+  body = std::move(other89.body);
+  __isset = other89.__isset;
 }
-KeptAnswer& KeptAnswer::operator=(const KeptAnswer& other82) {
-  status = other82.status;
-  content_type = other82.content_type;
-  body = other82.body;
-  __isset = other82.__isset;
+KeptAnswer& KeptAnswer::operator=(const KeptAnswer& other90) {
+  status = other90.status;
+  content_type = other90.content_type;
+  body = other90.body;
+  __isset = other90.__isset;
   return *this;
 }
-KeptAnswer& KeptAnswer::operator=(KeptAnswer&& other83) noexcept {
-  status = other83.status;
-  content_type = std::move(other83.content_type);
-  body = std::move(other83.body);
-  __isset = other83.__isset;
+KeptAnswer& KeptAnswer::operator=(KeptAnswer&& other91) noexcept {
+  status = other91.status;
+  content_type = std::move(other91.content_type);
+  body = std::move(other91.body);
+  __isset = other91.__isset;
   return *this;
 }
 void KeptAnswer::printTo(std::ostream& out) const {
@@ -2966,50 +3344,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Claim::Claim(const Claim& other84) {
-  kind = other84.kind;
-  key = other84.key;
-  content = other84.content;
-  customer = other84.customer;
-  nonce = other84.nonce;
-  agent = other84.agent;
-  written_us = other84.written_us;
-  answer = other84.answer;
-  __isset = other84.__isset;
+Claim::Claim(const Claim& other92) {
+  kind = other92.kind;
+  key = other92.key;
+  content = other92.content;
+  customer = other92.customer;
+  nonce = other92.nonce;
+  agent = other92.agent;
+  written_us = other92.written_us;
+  answer = other92.answer;
+  __isset = other92.__isset;
 }
-Claim::Claim(Claim&& other85) noexcept {
-  kind = other85.kind;
-  key = other85.key;
-  content = other85.content;
-  customer = other85.customer;
-  nonce = other85.nonce;
-  agent = other85.agent;
-  written_us = other85.written_us;
-  answer = std::move(other85.answer);
-  __isset = other85.__isset;
+Claim::Claim(Claim&& other93) noexcept {
+  kind = other93.kind;
+  key = other93.key;
+  content = other93.content;
+  customer = other93.customer;
+  nonce = other93.nonce;
+  agent = other93.agent;
+  written_us = other93.written_us;
+  answer = std::move(other93.answer);
+  __isset = other93.__isset;
 }
-Claim& Claim::operator=(const Claim& other86) {
-  kind = other86.kind;
-  key = other86.key;
-  content = other86.content;
-  customer = other86.customer;
-  nonce = other86.nonce;
-  agent = other86.agent;
-  written_us = other86.written_us;
-  answer = other86.answer;
-  __isset = other86.__isset;
+Claim& Claim::operator=(const Claim& other94) {
+  kind = other94.kind;
+  key = other94.key;
+  content = other94.content;
+  customer = other94.customer;
+  nonce = other94.nonce;
+  agent = other94.agent;
+  written_us = other94.written_us;
+  answer = other94.answer;
+  __isset = other94.__isset;
   return *this;
 }
-Claim& Claim::operator=(Claim&& other87) noexcept {
-  kind = other87.kind;
-  key = other87.key;
-  content = other87.content;
-  customer = other87.customer;
-  nonce = other87.nonce;
-  agent = other87.agent;
-  written_us = other87.written_us;
-  answer = std::move(other87.answer);
-  __isset = other87.__isset;
+Claim& Claim::operator=(Claim&& other95) noexcept {
+  kind = other95.kind;
+  key = other95.key;
+  content = other95.content;
+  customer = other95.customer;
+  nonce = other95.nonce;
+  agent = other95.agent;
+  written_us = other95.written_us;
+  answer = std::move(other95.answer);
+  __isset = other95.__isset;
   return *this;
 }
 void Claim::printTo(std::ostream& out) const {
@@ -3119,26 +3497,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Credit::Credit(const Credit& other88) noexcept {
-  attempt = other88.attempt;
-  taken = other88.taken;
-  __isset = other88.__isset;
+Credit::Credit(const Credit& other96) noexcept {
+  attempt = other96.attempt;
+  taken = other96.taken;
+  __isset = other96.__isset;
 }
-Credit::Credit(Credit&& other89) noexcept {
-  attempt = std::move(other89.attempt);
-  taken = other89.taken;
-  __isset = other89.__isset;
+Credit::Credit(Credit&& other97) noexcept {
+  attempt = std::move(other97.attempt);
+  taken = other97.taken;
+  __isset = other97.__isset;
 }
-Credit& Credit::operator=(const Credit& other90) noexcept {
-  attempt = other90.attempt;
-  taken = other90.taken;
-  __isset = other90.__isset;
+Credit& Credit::operator=(const Credit& other98) noexcept {
+  attempt = other98.attempt;
+  taken = other98.taken;
+  __isset = other98.__isset;
   return *this;
 }
-Credit& Credit::operator=(Credit&& other91) noexcept {
-  attempt = std::move(other91.attempt);
-  taken = other91.taken;
-  __isset = other91.__isset;
+Credit& Credit::operator=(Credit&& other99) noexcept {
+  attempt = std::move(other99.attempt);
+  taken = other99.taken;
+  __isset = other99.__isset;
   return *this;
 }
 void Credit::printTo(std::ostream& out) const {
@@ -3229,6 +3607,16 @@
 __isset.agent_report = true;
 }
 
+void Message::__set_configuration_request(const ConfigurationRequest& val) {
+  this->configuration_request = val;
+__isset.configuration_request = true;
+}
+
+void Message::__set_configuration_text(const ConfigurationText& val) {
+  this->configuration_text = val;
+__isset.configuration_text = true;
+}
+
 void Message::__set_claim(const Claim& val) {
   this->claim = val;
 __isset.claim = true;
@@ -3386,6 +3774,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 50:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration_request.read(iprot);
+          this->__isset.configuration_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 51:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration_text.read(iprot);
+          this->__isset.configuration_text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 40:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->claim.read(iprot);
@@ -3504,6 +3908,16 @@
     xfer += this->credit.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configuration_request) {
+    xfer += oprot->writeFieldBegin("configuration_request", ::apache::thrift::protocol::T_STRUCT, 50);
+    xfer += this->configuration_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configuration_text) {
+    xfer += oprot->writeFieldBegin("configuration_text", ::apache::thrift::protocol::T_STRUCT, 51);
+    xfer += this->configuration_text.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3526,91 +3940,101 @@
   swap(a.grant, b.grant);
   swap(a.decline, b.decline);
   swap(a.agent_report, b.agent_report);
+  swap(a.configuration_request, b.configuration_request);
+  swap(a.configuration_text, b.configuration_text);
   swap(a.claim, b.claim);
   swap(a.credit, b.credit);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other92) {
-  hello = other92.hello;
-  proof = other92.proof;
-  ping = other92.ping;
-  leaving = other92.leaving;
-  offer = other92.offer;
-  queued = other92.queued;
-  started = other92.started;
-  head = other92.head;
-  chunk = other92.chunk;
-  ended = other92.ended;
-  cancel = other92.cancel;
-  demand = other92.demand;
-  grant = other92.grant;
-  decline = other92.decline;
-  agent_report = other92.agent_report;
-  claim = other92.claim;
-  credit = other92.credit;
-  __isset = other92.__isset;
-}
-Message::Message(Message&& other93) noexcept {
-  hello = std::move(other93.hello);
-  proof = std::move(other93.proof);
-  ping = std::move(other93.ping);
-  leaving = std::move(other93.leaving);
-  offer = std::move(other93.offer);
-  queued = std::move(other93.queued);
-  started = std::move(other93.started);
-  head = std::move(other93.head);
-  chunk = std::move(other93.chunk);
-  ended = std::move(other93.ended);
-  cancel = std::move(other93.cancel);
-  demand = std::move(other93.demand);
-  grant = std::move(other93.grant);
-  decline = std::move(other93.decline);
-  agent_report = std::move(other93.agent_report);
-  claim = std::move(other93.claim);
-  credit = std::move(other93.credit);
-  __isset = other93.__isset;
-}
-Message& Message::operator=(const Message& other94) {
-  hello = other94.hello;
-  proof = other94.proof;
-  ping = other94.ping;
-  leaving = other94.leaving;
-  offer = other94.offer;
-  queued = other94.queued;
-  started = other94.started;
-  head = other94.head;
-  chunk = other94.chunk;
-  ended = other94.ended;
-  cancel = other94.cancel;
-  demand = other94.demand;
-  grant = other94.grant;
-  decline = other94.decline;
-  agent_report = other94.agent_report;
-  claim = other94.claim;
-  credit = other94.credit;
-  __isset = other94.__isset;
+Message::Message(const Message& other100) {
+  hello = other100.hello;
+  proof = other100.proof;
+  ping = other100.ping;
+  leaving = other100.leaving;
+  offer = other100.offer;
+  queued = other100.queued;
+  started = other100.started;
+  head = other100.head;
+  chunk = other100.chunk;
+  ended = other100.ended;
+  cancel = other100.cancel;
+  demand = other100.demand;
+  grant = other100.grant;
+  decline = other100.decline;
+  agent_report = other100.agent_report;
+  configuration_request = other100.configuration_request;
+  configuration_text = other100.configuration_text;
+  claim = other100.claim;
+  credit = other100.credit;
+  __isset = other100.__isset;
+}
+Message::Message(Message&& other101) noexcept {
+  hello = std::move(other101.hello);
+  proof = std::move(other101.proof);
+  ping = std::move(other101.ping);
+  leaving = std::move(other101.leaving);
+  offer = std::move(other101.offer);
+  queued = std::move(other101.queued);
+  started = std::move(other101.started);
+  head = std::move(other101.head);
+  chunk = std::move(other101.chunk);
+  ended = std::move(other101.ended);
+  cancel = std::move(other101.cancel);
+  demand = std::move(other101.demand);
+  grant = std::move(other101.grant);
+  decline = std::move(other101.decline);
+  agent_report = std::move(other101.agent_report);
+  configuration_request = std::move(other101.configuration_request);
+  configuration_text = std::move(other101.configuration_text);
+  claim = std::move(other101.claim);
+  credit = std::move(other101.credit);
+  __isset = other101.__isset;
+}
+Message& Message::operator=(const Message& other102) {
+  hello = other102.hello;
+  proof = other102.proof;
+  ping = other102.ping;
+  leaving = other102.leaving;
+  offer = other102.offer;
+  queued = other102.queued;
+  started = other102.started;
+  head = other102.head;
+  chunk = other102.chunk;
+  ended = other102.ended;
+  cancel = other102.cancel;
+  demand = other102.demand;
+  grant = other102.grant;
+  decline = other102.decline;
+  agent_report = other102.agent_report;
+  configuration_request = other102.configuration_request;
+  configuration_text = other102.configuration_text;
+  claim = other102.claim;
+  credit = other102.credit;
+  __isset = other102.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other95) noexcept {
-  hello = std::move(other95.hello);
-  proof = std::move(other95.proof);
-  ping = std::move(other95.ping);
-  leaving = std::move(other95.leaving);
-  offer = std::move(other95.offer);
-  queued = std::move(other95.queued);
-  started = std::move(other95.started);
-  head = std::move(other95.head);
-  chunk = std::move(other95.chunk);
-  ended = std::move(other95.ended);
-  cancel = std::move(other95.cancel);
-  demand = std::move(other95.demand);
-  grant = std::move(other95.grant);
-  decline = std::move(other95.decline);
-  agent_report = std::move(other95.agent_report);
-  claim = std::move(other95.claim);
-  credit = std::move(other95.credit);
-  __isset = other95.__isset;
+Message& Message::operator=(Message&& other103) noexcept {
+  hello = std::move(other103.hello);
+  proof = std::move(other103.proof);
+  ping = std::move(other103.ping);
+  leaving = std::move(other103.leaving);
+  offer = std::move(other103.offer);
+  queued = std::move(other103.queued);
+  started = std::move(other103.started);
+  head = std::move(other103.head);
+  chunk = std::move(other103.chunk);
+  ended = std::move(other103.ended);
+  cancel = std::move(other103.cancel);
+  demand = std::move(other103.demand);
+  grant = std::move(other103.grant);
+  decline = std::move(other103.decline);
+  agent_report = std::move(other103.agent_report);
+  configuration_request = std::move(other103.configuration_request);
+  configuration_text = std::move(other103.configuration_text);
+  claim = std::move(other103.claim);
+  credit = std::move(other103.credit);
+  __isset = other103.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3631,6 +4055,8 @@
   out << ", " << "grant="; (__isset.grant ? (out << to_string(grant)) : (out << "<null>"));
   out << ", " << "decline="; (__isset.decline ? (out << to_string(decline)) : (out << "<null>"));
   out << ", " << "agent_report="; (__isset.agent_report ? (out << to_string(agent_report)) : (out << "<null>"));
+  out << ", " << "configuration_request="; (__isset.configuration_request ? (out << to_string(configuration_request)) : (out << "<null>"));
+  out << ", " << "configuration_text="; (__isset.configuration_text ? (out << to_string(configuration_text)) : (out << "<null>"));
   out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
   out << ", " << "credit="; (__isset.credit ? (out << to_string(credit)) : (out << "<null>"));
   out << ")";
