--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -11,6 +11,7 @@
 #include "lagoonwind/base.h"
 #include "lagoonwind/limits.h"
 #include "lagoonwind/rules.h"
+#include "lagoonwind/rules_diff.h"
 
 /// \file
 /// Decisions of a daemon. No I/O, no threads, no clock and no random source: time, events and the
@@ -44,6 +45,8 @@
   kKeyConflict,
   kKeyRunning,
   kKeyExpired,
+  /// The process reaches neither the log nor any other zone.
+  kCutOff,
 };
 
 /// Field name of an outcome or a reason in replies, logs and metrics. Thread safe.
@@ -123,6 +126,45 @@
   bool repeatable = true;
   /// Digest of customer and idempotency key; invalid without a key.
   Digest key;
+  /// Age of the key if it tells when it was made (a UUID of version 7), else 0.
+  Duration key_age{0};
+};
+
+/// A whole answer, kept for further calls with the same key. Immutable once shared.
+struct KeptAnswer {
+  unsigned status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+enum class ClaimKind {
+  /// The agent wants to run the call.
+  kClaim,
+  /// The claim with this nonce never ran and never will; it is void before and after this record.
+  kRelease,
+  /// The run is over and its whole answer was sent on.
+  kCompletion,
+};
+
+/// What an agent appends to a claim stream of the platform's log.
+struct ClaimRecord {
+  ClaimKind kind = ClaimKind::kClaim;
+  Digest key;
+  /// Digest of the request that claims the key.
+  Digest content;
+  CustomerId customer;
+  ClaimNonce nonce;
+  Incarnation agent;
+  /// Only in a completion, and only if the answer is small enough to be kept.
+  std::shared_ptr<const KeptAnswer> answer;
+};
+
+/// A record as the log keeps it.
+struct StoredClaim {
+  std::int64_t offset = 0;
+  /// Time since the record was written, by the wall clocks of its writer and its reader.
+  Duration age{0};
+  ClaimRecord record;
 };
 
 // Events of both roles.
@@ -144,6 +186,49 @@
 };
 /// Operators or the platform asked this process to leave.
 struct DrainRequested {};
+/// A member says that it is about to leave.
+struct MemberLeaving {
+  MemberId member;
+};
+/// What a member knows of the rules; comes with every heartbeat.
+struct VersionHeard {
+  MemberId member;
+  /// Offset of its configuration.
+  std::int64_t offset = -1;
+  /// It accounts for every record of the stream before this offset.
+  std::int64_t through = 0;
+  /// False if it knows of no read of the stream to its end.
+  bool log_seen = false;
+  /// Time since the stream was last known to be read to its end.
+  Duration log_age{0};
+};
+struct ConfigurationRequested {
+  MemberId member;
+  /// Offset of the configuration that the member has.
+  std::int64_t have = -1;
+};
+/// A configuration as a change of one that this process had; base -1 is the empty text.
+struct ConfigurationReceived {
+  MemberId member;
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  std::int64_t base = -1;
+  TextPatch patch;
+  /// Of the whole text; see ConfigurationDigest.
+  Digest digest;
+};
+struct RulesRecord {
+  std::int64_t offset = 0;
+  std::string data;
+};
+/// Answer to ReadRules.
+struct RulesRead {
+  /// False if the log didn't answer; the rest is then empty.
+  bool ok = false;
+  std::int64_t first_offset = 0;
+  std::int64_t next_offset = 0;
+  std::vector<RulesRecord> records;
+};
 
 /// Another process knows of suspects.
 struct SuspectsReported {
@@ -230,6 +315,8 @@
   AttemptId attempt;
   AttemptResult result = AttemptResult::kUnknown;
   Reason reason = Reason::kNone;
+  /// Whole answer of a call with a key; null if it is too large to be kept.
+  std::shared_ptr<const KeptAnswer> answer;
 };
 /// The agent asked its backend server how it is.
 struct BackendObserved {
@@ -241,11 +328,41 @@
   std::uint32_t running = 0;
 };
 
-using Event = std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
-                           SuspectsReported, RequestArrived, CallerLeft, AnswerBegan, AttemptQueued,
-                           AttemptStarted, AttemptEnded, GrantReceived, AgentReported,
-                           OfferReceived, CancelReceived, GrantDeclined, DemandReported,
-                           ServiceAccrued, AnswerStarted, AttemptFinished, BackendObserved>;
+/// A claim record was appended.
+struct ClaimAppended {
+  std::uint32_t stream = 0;
+  ClaimNonce nonce;
+  ClaimKind kind = ClaimKind::kClaim;
+  std::int64_t offset = 0;
+};
+struct ClaimAppendFailed {
+  std::uint32_t stream = 0;
+  ClaimNonce nonce;
+  ClaimKind kind = ClaimKind::kClaim;
+  /// True if nothing was appended; otherwise the record may be in the log now or later.
+  bool certain = false;
+};
+/// Answer of the log to ReadClaims.
+struct ClaimsRead {
+  std::uint32_t stream = 0;
+  /// Offset of the oldest record that the log still keeps.
+  std::int64_t first_offset = 0;
+  /// Offset that the next append gets.
+  std::int64_t next_offset = 0;
+  std::vector<StoredClaim> records;
+};
+struct ClaimsReadFailed {
+  std::uint32_t stream = 0;
+};
+
+using Event =
+    std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
+                 SuspectsReported, RequestArrived, CallerLeft, AnswerBegan, AttemptQueued,
+                 AttemptStarted, AttemptEnded, GrantReceived, AgentReported, OfferReceived,
+                 CancelReceived, GrantDeclined, DemandReported, ServiceAccrued, AnswerStarted,
+                 AttemptFinished, BackendObserved, MemberLeaving, VersionHeard,
+                 ConfigurationRequested, ConfigurationReceived, RulesRead, ClaimAppended,
+                 ClaimAppendFailed, ClaimsRead, ClaimsReadFailed>;
 
 // Actions of both roles.
 
@@ -256,6 +373,45 @@
 struct CloseLink {
   MemberId member;
 };
+/// Tell a member, or every linked one if it is invalid, that this process leaves.
+struct SendLeaving {
+  MemberId member;
+};
+/// Read the stream of rules; RulesRead answers.
+struct ReadRules {
+  std::int64_t from = 0;
+};
+/// Append a record to the stream of rules. Nothing answers.
+struct AppendRules {
+  std::string record;
+};
+/// The configuration in force or what is known of the stream changed.
+struct PublishConfiguration {
+  std::shared_ptr<const Configuration> configuration;
+  std::int64_t through = 0;
+};
+/// What heartbeats say from now on.
+struct AnnounceVersion {
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  bool log_seen = false;
+  Time log_seen_at;
+  /// Send it to every linked member at once.
+  bool urgent = false;
+};
+/// Ask a member for its configuration; ConfigurationReceived may answer.
+struct RequestConfiguration {
+  MemberId member;
+  std::int64_t have = -1;
+};
+struct SendConfiguration {
+  MemberId member;
+  std::int64_t offset = -1;
+  std::int64_t through = 0;
+  std::int64_t base = -1;
+  TextPatch patch;
+  Digest digest;
+};
 
 /// Tell every linked process of the other role.
 struct SendSuspects {
@@ -301,11 +457,13 @@
   MemberId entry;
   AttemptId attempt;
 };
-/// Tell the entry that the attempt never ran.
+/// Tell the entry that the attempt isn't run.
 struct RefuseAttempt {
   MemberId entry;
   AttemptId attempt;
   Reason reason = Reason::kNone;
+  /// kUnknown if an earlier call with the same key may have run.
+  AttemptResult result = AttemptResult::kNotRun;
 };
 struct CancelAttempt {
   AttemptId attempt;
@@ -321,9 +479,29 @@
   AgentReport report;
 };
 
-using Action = std::variant<OpenLink, CloseLink, SendSuspects, SendOffer, SendCancel, SendDecline,
-                            SendDemand, FinishRequest, StartAttempt, QueueAttempt, RefuseAttempt,
-                            CancelAttempt, SendGrant, SendAgentReport>;
+/// Append a record to a claim stream; ClaimAppended or ClaimAppendFailed answers.
+struct AppendClaim {
+  std::uint32_t stream = 0;
+  ClaimRecord record;
+};
+/// Read a claim stream from an offset on; ClaimsRead or ClaimsReadFailed answers.
+struct ReadClaims {
+  std::uint32_t stream = 0;
+  std::int64_t from = 0;
+};
+/// Answer an attempt with an answer that was kept; nothing runs.
+struct RepeatAnswer {
+  MemberId entry;
+  AttemptId attempt;
+  std::shared_ptr<const KeptAnswer> answer;
+};
+
+using Action =
+    std::variant<OpenLink, CloseLink, SendSuspects, SendOffer, SendCancel, SendDecline, SendDemand,
+                 FinishRequest, StartAttempt, QueueAttempt, RefuseAttempt, CancelAttempt, SendGrant,
+                 SendAgentReport, SendLeaving, ReadRules, AppendRules, PublishConfiguration,
+                 AnnounceVersion, RequestConfiguration, SendConfiguration, AppendClaim, ReadClaims,
+                 RepeatAnswer>;
 
 /// What was decided; `Describe` gives it in words.
 enum class DecisionKind {
@@ -347,6 +525,10 @@
   kConfigurationAccepted,
   kDigestSuspected,
   kDigestQuarantined,
+  kClaimHeld,
+  kClaimLost,
+  kClaimReleased,
+  kAnswerRepeated,
 };
 
 /// One entry of the decision ring.
@@ -365,6 +547,19 @@
 /// A decision in plain words, without names. Thread safe.
 std::string Describe(const Decision& decision);
 
+/// Names of what a decision is about; empty ones are left out of the sentence.
+struct DecisionNames {
+  std::string request;
+  std::string customer;
+  std::string member;
+};
+
+/// A decision as a sentence for operators. Thread safe.
+/// \param role  Of the process that decided; the member is of the other role.
+std::string Explain(const Decision& decision, Role role, const DecisionNames& names);
+/// A reason as half a sentence for operators. Thread safe.
+std::string_view Explain(Reason reason);
+
 struct CustomerStats {
   CustomerId customer;
   std::uint32_t waiting = 0;
@@ -382,6 +577,10 @@
 struct Stats {
   std::int64_t configuration_offset = -1;
   bool draining = false;
+  /// Why the process takes no new work; kNone if it does.
+  Reason closed = Reason::kNone;
+  /// True if the process follows the stream of rules itself.
+  bool reads_log = false;
   std::uint32_t window = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
@@ -396,6 +595,9 @@
   std::vector<MemberStats> members;
 };
 
+/// Digest that goes with a configuration's text from process to process. Thread safe.
+Digest ConfigurationDigest(std::int64_t offset, std::string_view text);
+
 /// Parameters of a Policy; the defaults suit tests.
 struct Init {
   Role role = Role::kEntry;
@@ -422,7 +624,8 @@
 
   [[nodiscard]] virtual Stats stats() const = 0;
 
-  /// Decisions about a request, customer or member, oldest first. Invalid handles match nothing.
+  /// Decisions about a request, customer or member, oldest first. Invalid handles match nothing;
+  /// the process itself as member matches all.
   [[nodiscard]] virtual std::vector<Decision> Explain(RequestId request, CustomerId customer,
                                                       MemberId member) const = 0;
 };
--- a/packages/policy/src/blackboard.cc
+++ b/packages/policy/src/blackboard.cc
@@ -27,12 +27,34 @@
   return found;
 }
 
+bool SeenOffers::Add(AttemptId attempt) {
+  if (!seen_.insert(attempt).second) {
+    return false;
+  }
+  order_.push_back(attempt);
+  if (order_.size() > limits::kMaxSeenOffers) {
+    seen_.erase(order_.front());
+    order_.pop_front();
+  }
+  return true;
+}
+
 bool Blackboard::Linked(MemberId member) const {
   const auto found = members.find(member);
   return found != members.end() && found->second.linked;
 }
 
-bool Blackboard::Closed() const { return draining || configuration->ZoneOut(zone); }
+Reason Blackboard::ClosedReason() const {
+  if (draining || listed_leaving) {
+    return Reason::kDraining;
+  }
+  if (configuration->ZoneOut(zone)) {
+    return Reason::kZoneOut;
+  }
+  return cut_off || now < paused_until ? Reason::kCutOff : Reason::kNone;
+}
+
+bool Blackboard::Closed() const { return ClosedReason() != Reason::kNone; }
 
 std::uint32_t Blackboard::Room() const {
   const auto used = static_cast<std::uint32_t>(running.size() + grants.size()) + backend.foreign;
--- a/packages/policy/src/controller.h
+++ b/packages/policy/src/controller.h
@@ -37,12 +37,16 @@
 std::unique_ptr<Controller> MakeConfigurationController();
 std::unique_ptr<Controller> MakeMembershipController();
 std::unique_ptr<Controller> MakeQuarantineController();
+std::unique_ptr<Controller> MakeLogReaderController();
+std::unique_ptr<Controller> MakeSpreadController();
+std::unique_ptr<Controller> MakeZoneController();
 // Entry.
 std::unique_ptr<Controller> MakeRetryController(const Init& init);
 std::unique_ptr<Controller> MakeRoutingController();
 // Agent.
 std::unique_ptr<Controller> MakeWarmUpController();
 std::unique_ptr<Controller> MakeFairShareController();
+std::unique_ptr<Controller> MakeClaimsController();
 std::unique_ptr<Controller> MakeAdmissionController();
 std::unique_ptr<Controller> MakeReportController();
 
--- a/packages/policy/src/names.cc
+++ b/packages/policy/src/names.cc
@@ -60,6 +60,8 @@
       return "key-running";
     case Reason::kKeyExpired:
       return "key-expired";
+    case Reason::kCutOff:
+      return "cut-off";
   }
   return "none";
 }
@@ -108,6 +110,14 @@
       return "request may crash backend servers, runs alone among such";
     case DecisionKind::kDigestQuarantined:
       return "request crashes backend servers, quarantined";
+    case DecisionKind::kClaimHeld:
+      return "claim is the first for its key";
+    case DecisionKind::kClaimLost:
+      return "key was claimed before";
+    case DecisionKind::kClaimReleased:
+      return "claim released, the call never ran";
+    case DecisionKind::kAnswerRepeated:
+      return "kept answer given again";
   }
   return "decision";
 }
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -14,10 +14,17 @@
 
 using ControllerList = std::vector<std::unique_ptr<Controller>>;
 
+void AddCommonControllers(ControllerList& list) {
+  list.push_back(MakeMembershipController());
+  list.push_back(MakeConfigurationController());
+  list.push_back(MakeZoneController());
+  list.push_back(MakeLogReaderController());
+  list.push_back(MakeSpreadController());
+}
+
 ControllerList EntryControllers(const Init& init) {
   ControllerList list;
-  list.push_back(MakeConfigurationController());
-  list.push_back(MakeMembershipController());
+  AddCommonControllers(list);
   list.push_back(MakeQuarantineController());
   list.push_back(MakeRetryController(init));
   list.push_back(MakeRoutingController());
@@ -26,11 +33,11 @@
 
 ControllerList AgentControllers() {
   ControllerList list;
-  list.push_back(MakeConfigurationController());
-  list.push_back(MakeMembershipController());
+  AddCommonControllers(list);
   list.push_back(MakeWarmUpController());
   list.push_back(MakeQuarantineController());
   list.push_back(MakeFairShareController());
+  list.push_back(MakeClaimsController());
   list.push_back(MakeAdmissionController());
   list.push_back(MakeReportController());
   return list;
@@ -63,6 +70,8 @@
     Stats stats = board_.counters;
     stats.configuration_offset = board_.configuration->offset;
     stats.draining = board_.draining;
+    stats.closed = board_.ClosedReason();
+    stats.reads_log = board_.log.reading;
     stats.window = board_.backend.window;
     stats.quarantined = static_cast<std::uint32_t>(std::ranges::count_if(
         board_.suspects, [](const auto& item) { return item.second.quarantined(); }));
@@ -75,7 +84,8 @@
 
   [[nodiscard]] std::vector<Decision> Explain(RequestId request, CustomerId customer,
                                               MemberId member) const override {
-    return board_.decisions.About(request, customer, member);
+    return member == board_.self ? board_.decisions.All()
+                                 : board_.decisions.About(request, customer, member);
   }
 
  private:
--- a/packages/policy/src/retry_controller.cc
+++ b/packages/policy/src/retry_controller.cc
@@ -53,7 +53,7 @@
 
   static Verdict VerdictOf(AttemptResult result, Reason reason) {
     if (result != AttemptResult::kNotRun) {
-      return Verdict::kCounted;
+      return IsFinal(reason) ? Verdict::kFinal : Verdict::kCounted;
     }
     switch (reason) {
       case Reason::kDraining:
@@ -66,10 +66,16 @@
       case Reason::kCallerLeft:
         return Verdict::kFinal;
       default:
-        return Verdict::kCounted;
+        return IsFinal(reason) ? Verdict::kFinal : Verdict::kCounted;
     }
   }
 
+  /// True if no other agent can say anything else.
+  static bool IsFinal(Reason reason) {
+    return reason == Reason::kLogUnavailable || reason == Reason::kKeyConflict ||
+           reason == Reason::kKeyRunning || reason == Reason::kKeyExpired;
+  }
+
   static OwnedRequest* FindCurrent(Blackboard& board, MemberId agent, AttemptId attempt) {
     const auto found = board.requests.find(attempt.request);
     if (found == board.requests.end() || found->second.attempt != attempt.attempt ||
--- a/packages/runtime/src/attempt_run.cc
+++ b/packages/runtime/src/attempt_run.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "lagoonwind/limits.h"
+
 namespace lagoonwind::runtime {
 namespace {
 
@@ -108,6 +110,8 @@
   if (!streams_) {
     context_.policy.Post(policy::AnswerStarted{.attempt = id_});
   }
+  kept_.status = head.status;
+  kept_.content_type = head.content_type;
 }
 
 void AttemptRun::OnData(std::string_view data, std::uint32_t tokens) {
@@ -117,6 +121,9 @@
   message.chunk.offset = static_cast<std::int64_t>(sent_);
   message.chunk.data = std::string(data);
   sent_ += data.size();
+  if (claimed() && sent_ <= limits::kMaxKeptAnswerBytes) {
+    kept_.body += data;
+  }
   context_.links.Send(entry_, message);
   if (tokens > 0) {
     ChargeTokens(tokens);
@@ -145,7 +152,26 @@
   context_.metrics.ServiceCharged(offer_.customer_name, service);
 }
 
+std::shared_ptr<const policy::KeptAnswer> AttemptRun::TakeKept() {
+  if (!claimed() || sent_ > limits::kMaxKeptAnswerBytes) {
+    return nullptr;
+  }
+  return std::make_shared<const policy::KeptAnswer>(std::move(kept_));
+}
+
 void AttemptRun::End(CallResult result, policy::Reason reason) {
+  policy::AttemptFinished finished{.attempt = id_, .result = ResultOf(result), .reason = reason};
+  finished.answer = result == CallResult::kComplete ? TakeKept() : nullptr;
+  LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
+            << " customer=" << offer_.customer_name << " reason=" << policy::Name(finished.reason);
+  // The decisions tell the entry of a claimed call that never ran, once its claim is released.
+  if (!claimed() || ResultOf(result) != policy::AttemptResult::kNotRun) {
+    SendEnd(result, reason);
+  }
+  context_.policy.Post(std::move(finished));
+}
+
+void AttemptRun::SendEnd(CallResult result, policy::Reason reason) {
   wire::Message message;
   message.__set_ended({});
   message.ended.attempt = offer_.attempt;
@@ -153,10 +179,6 @@
   message.ended.reason = static_cast<std::int32_t>(reason);
   message.ended.length = static_cast<std::int64_t>(sent_);
   context_.links.Send(entry_, message);
-  context_.policy.Post(
-      policy::AttemptFinished{.attempt = id_, .result = ResultOf(result), .reason = reason});
-  LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
-            << " customer=" << offer_.customer_name << " reason=" << policy::Name(reason);
 }
 
 }  // namespace lagoonwind::runtime
--- a/packages/runtime/src/link.cc
+++ b/packages/runtime/src/link.cc
@@ -88,16 +88,16 @@
       break;
     }
     last_received_ = std::chrono::steady_clock::now();
-    if (!message->__isset.ping) {
-      handler_.OnLinkMessage(*this, *std::move(message));
-    }
+    handler_.OnLinkMessage(*this, *std::move(message));
   }
   Close();
 }
 
 void Link::Send(const wire::Message& message) {
+  std::string encoded = wire::EncodeFrame(message);
+  handler_.traffic().sent[KindOf(message)].Add(encoded.size());
   asio::post(socket_.get_executor(),
-             [self = shared_from_this(), frame = wire::EncodeFrame(message)]() mutable {
+             [self = shared_from_this(), frame = std::move(encoded)]() mutable {
                self->outbox_.push_back(std::move(frame));
                if (!std::exchange(self->writing_, true)) {
                  asio::co_spawn(self->socket_.get_executor(), self->Write(),
@@ -130,11 +130,16 @@
   if (error) {
     co_return absl::UnavailableError(error.message());
   }
-  co_return wire::DecodeBody(body);
+  auto message = wire::DecodeBody(body);
+  if (message.ok()) {
+    handler_.traffic().received[KindOf(*message)].Add(wire::kFrameHeaderBytes + body.size());
+  }
+  co_return message;
 }
 
 asio::awaitable<absl::Status> Link::WriteMessage(wire::Message message) {
   const std::string frame = wire::EncodeFrame(message);
+  handler_.traffic().sent[KindOf(message)].Add(frame.size());
   ErrorCode error;
   co_await asio::async_write(socket_, asio::buffer(frame), Redirect(error));
   co_return error ? absl::UnavailableError(error.message()) : absl::OkStatus();
@@ -157,9 +162,7 @@
 asio::awaitable<void> Link::Heartbeat() {
   asio::steady_timer timer(socket_.get_executor());
   while (open_) {
-    wire::Message ping;
-    ping.__set_ping({});
-    Send(ping);
+    Send(handler_.Heartbeat());
     timer.expires_after(limits::kHeartbeatInterval);
     ErrorCode ignored;
     co_await timer.async_wait(Redirect(ignored));
