--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -1,14 +1,18 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "claim_table.h"
 #include "cost_estimator.h"
 #include "lagoonwind/policy.h"
+#include "lagoonwind/rules_history.h"
 
 namespace lagoonwind::policy {
 
@@ -16,6 +20,7 @@
 class DecisionRing {
  public:
   void Add(Decision decision);
+  [[nodiscard]] std::vector<Decision> All() const { return {decisions_.begin(), decisions_.end()}; }
   [[nodiscard]] std::vector<Decision> About(RequestId request, CustomerId customer,
                                             MemberId member) const;
 
@@ -30,6 +35,23 @@
   bool linked = false;
   bool opening = false;
   Incarnation incarnation;
+  /// The member itself said that it leaves.
+  bool left = false;
+  /// It has been linked since this process started.
+  bool was_linked = false;
+  /// When it was last listed or linked.
+  Time last_alive;
+};
+
+/// What this process knows of the platform's log.
+struct LogKnowledge {
+  bool seen = false;
+  /// Latest time at which the stream of rules is known to have been read to its end.
+  Time seen_at;
+  /// This process follows the stream itself.
+  bool reading = false;
+  /// When the read under way was asked for.
+  Time read_began;
 };
 
 enum class RequestPhase { kWaiting, kOffered, kRunning };
@@ -87,6 +109,22 @@
   /// Service charged so far, in units of service.
   double service = 0;
   bool answer_started = false;
+  /// When the last streamed token arrived.
+  std::optional<Time> last_token;
+  /// Waits for its claim; nothing was sent to the backend server yet.
+  bool awaits_claim = false;
+};
+
+/// Bounded memory of attempts whose offers were taken; forgets the oldest. Not thread safe.
+class SeenOffers {
+ public:
+  /// \return False if the attempt was seen before.
+  bool Add(AttemptId attempt);
+  [[nodiscard]] bool Contains(AttemptId attempt) const { return seen_.contains(attempt); }
+
+ private:
+  absl::btree_set<AttemptId> seen_;
+  std::deque<AttemptId> order_;
 };
 
 /// What an agent knows of a customer's service.
@@ -109,6 +147,10 @@
   std::vector<TargetId> targets;
   /// Requests that may run at a time.
   std::uint32_t window = 1;
+  /// Requests that the backend server runs and this process doesn't know of.
+  std::uint32_t foreign = 0;
+  /// True while tokens are overdue; nothing is started then.
+  bool stalled = false;
 };
 
 /// The tables that controllers read and write. Each table has one writer, named beside it, except
@@ -124,11 +166,23 @@
 
   // ConfigurationController.
   std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+  RulesHistory rules;
+  /// Configurations in force before, newest last.
+  std::vector<std::shared_ptr<const Configuration>> former;
+  // ConfigurationController; `reading` and `read_began` by LogReaderController.
+  LogKnowledge log;
 
   // MembershipController.
   bool draining = false;
+  /// The platform lists this process as leaving.
+  bool listed_leaving = false;
   absl::btree_map<MemberId, MemberState> members;
 
+  // ZoneController.
+  bool cut_off = false;
+  /// No new work before this time: the process was paused and may have missed changes.
+  Time paused_until;
+
   // Entry: RoutingController and RetryController.
   absl::btree_map<RequestId, OwnedRequest> requests;
   // Entry: RoutingController.
@@ -139,6 +193,11 @@
   absl::btree_map<DemandKey, DemandState> demand;
   absl::btree_map<GrantId, GrantState> grants;
   absl::btree_map<AttemptId, RunningAttempt> running;
+  SeenOffers seen_offers;
+  // Agent: ClaimsController.
+  ClaimTable claims;
+  /// Offers of this step that were answered without a run.
+  absl::btree_set<AttemptId> settled_offers;
   // Agent: WarmUpController.
   BackendState backend;
   // Agent: FairShareController. Service per customer, in units of service.
@@ -155,7 +214,10 @@
   Stats counters;
 
   [[nodiscard]] bool Linked(MemberId member) const;
-  /// True if the agent's own zone is out or the process drains.
+  /// Why this process takes no new work: it leaves, its zone is out, or it is cut off. kNone if it
+  /// does.
+  [[nodiscard]] Reason ClosedReason() const;
+  /// True if this process takes no new work.
   [[nodiscard]] bool Closed() const;
   /// Requests that could start now, grants in flight counted as running.
   [[nodiscard]] std::uint32_t Room() const;
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -13,10 +13,17 @@
 
 using ControllerList = std::vector<std::unique_ptr<Controller>>;
 
+void AddCommonControllers(ControllerList& list) {
+  list.push_back(MakeMembershipController());
+  list.push_back(MakeConfigurationController());
+  list.push_back(MakeZoneController());
+  list.push_back(MakeLogReaderController());
+  list.push_back(MakeSpreadController());
+}
+
 ControllerList EntryControllers() {
   ControllerList list;
-  list.push_back(MakeConfigurationController());
-  list.push_back(MakeMembershipController());
+  AddCommonControllers(list);
   list.push_back(MakeRetryController());
   list.push_back(MakeRoutingController());
   return list;
@@ -24,11 +31,11 @@
 
 ControllerList AgentControllers(const Init& init) {
   ControllerList list;
-  list.push_back(MakeConfigurationController());
-  list.push_back(MakeMembershipController());
+  AddCommonControllers(list);
   list.push_back(init.fixed_window > 0 ? MakeFixedWindowController() : MakeWarmUpController());
   list.push_back(MakeLedgerController());
   list.push_back(MakeFairShareController());
+  list.push_back(MakeClaimsController());
   list.push_back(MakeAdmissionController());
   list.push_back(MakeReportController());
   return list;
@@ -61,6 +68,8 @@
     Stats stats = board_.counters;
     stats.configuration_offset = board_.configuration->offset;
     stats.draining = board_.draining;
+    stats.closed = board_.ClosedReason();
+    stats.reads_log = board_.log.reading;
     stats.window = board_.backend.window;
     FillCustomers(stats);
     for (const auto& [id, state] : board_.members) {
@@ -71,7 +80,8 @@
 
   [[nodiscard]] std::vector<Decision> Explain(RequestId request, CustomerId customer,
                                               MemberId member) const override {
-    return board_.decisions.About(request, customer, member);
+    return member == board_.self ? board_.decisions.All()
+                                 : board_.decisions.About(request, customer, member);
   }
 
  private:
--- a/packages/rules/include/lagoonwind/rules.h
+++ b/packages/rules/include/lagoonwind/rules.h
@@ -29,11 +29,13 @@
   std::string token_sha256;
   /// Largest number of requests that may wait at one entry.
   std::uint32_t queue = limits::kDefaultCustomerQueue;
+  std::string asked_by;
 };
 
 struct ZoneRule {
   std::string name;
   bool out = false;
+  std::string asked_by;
 };
 
 struct TargetRule {
@@ -44,6 +46,7 @@
   std::chrono::seconds window{0};
   /// Only backend servers with this tag run the target; empty means all that serve it.
   std::string backend_tag;
+  std::string asked_by;
 };
 
 /// An accepted set of rules. Immutable once built; share it as `shared_ptr<const>`.
@@ -54,9 +57,13 @@
   std::map<CustomerId, CustomerRule> customers;
   std::map<ZoneId, ZoneRule> zones;
   std::map<TargetId, TargetRule> targets;
+  /// Customers by the digest of their token. A lookup by a presented token's digest needs no
+  /// constant time: whoever presents a token can't choose the bytes of its SHA-256, so how far two
+  /// digests agree tells nothing about the token.
+  std::map<std::string, CustomerId, std::less<>> customers_by_token;
 
   /// The customer whose token has this digest, or nullptr. Thread safe.
-  /// Compares in constant time per customer.
+  /// The digest found is compared in constant time.
   /// \param token_sha256  Lower-case hexadecimal SHA-256 of the presented token.
   [[nodiscard]] const CustomerRule* CustomerByToken(std::string_view token_sha256) const;
   /// True if operators have taken the availability zone out. Thread safe.
--- a/packages/rules/src/rules.cc
+++ b/packages/rules/src/rules.cc
@@ -112,6 +112,9 @@
         hash == std::string_view::npos ? std::string_view{} : Trim(line.substr(hash + 1));
     if (!comment.starts_with(kAskedBy) || Trim(comment.substr(kAskedBy.size())).empty()) {
       Fail("the rule doesn't say who asked for it; end the line with '# asked by: NAME'");
+      asked_by_ = {};
+    } else {
+      asked_by_ = Trim(comment.substr(kAskedBy.size()));
     }
     ParseRule(Words(rule));
   }
@@ -150,7 +153,9 @@
       Fail("a customer needs a token; write token sha256:HEX");
       return;
     }
-    Insert(result_.configuration.customers, HandleOf<CustomerId>(name), std::move(rule));
+    const auto id = HandleOf<CustomerId>(name);
+    result_.configuration.customers_by_token.try_emplace(rule.token_sha256, id);
+    Insert(result_.configuration.customers, id, std::move(rule));
   }
 
   void ParseCustomerOption(std::string_view key, std::string_view value, CustomerRule& rule) {
@@ -232,12 +237,14 @@
   template <class Key, class Rule>
   void Insert(std::map<Key, Rule>& rules, Key key, Rule rule) {
     const std::string name = rule.name;
+    rule.asked_by = std::string(asked_by_);
     if (!rules.try_emplace(key, std::move(rule)).second) {
       Fail(absl::StrFormat("'%s' has a rule already; allowed is one rule for each name", name));
     }
   }
 
   int line_ = 0;
+  std::string_view asked_by_;
   ParsedRules result_;
 };
 
@@ -255,13 +262,14 @@
 }  // namespace
 
 const CustomerRule* Configuration::CustomerByToken(std::string_view digest) const {
-  const CustomerRule* found = nullptr;
-  for (const auto& [id, rule] : customers) {
-    if (ConstantTimeEqual(rule.token_sha256, digest)) {
-      found = &rule;
-    }
+  const auto owner = customers_by_token.find(digest);
+  if (owner == customers_by_token.end()) {
+    return nullptr;
   }
-  return found;
+  const auto rule = customers.find(owner->second);
+  const bool found =
+      rule != customers.end() && ConstantTimeEqual(rule->second.token_sha256, digest);
+  return found ? &rule->second : nullptr;
 }
 
 bool Configuration::ZoneOut(ZoneId zone) const {
--- a/packages/runtime/src/daemon.cc
+++ b/packages/runtime/src/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -42,12 +43,13 @@
                       .tags = settings.backend_tags};
 }
 
-LinkOptions LinkOptionsOf(const Settings& settings, Incarnation incarnation) {
+LinkOptions LinkOptionsOf(const Settings& settings, Incarnation incarnation, Metrics& metrics) {
   return LinkOptions{.name = settings.name,
                      .role = settings.role,
                      .zone = settings.zone,
                      .incarnation = incarnation,
-                     .key = settings.link_key};
+                     .key = settings.link_key,
+                     .traffic = &metrics.traffic()};
 }
 
 /// One daemon: its threads, ports, platform clients and role.
@@ -62,8 +64,8 @@
         log_(platform::MakeHttpLogService(settings.platform_address)),
         hosts_(platform::MakeHttpHostList(settings.platform_address)),
         policy_(io_, policy::MakePolicy(InitOf(settings, incarnation_))),
-        links_(io_, LinkOptionsOf(settings, incarnation_), policy_),
-        configuration_(*log_, policy_),
+        links_(io_, LinkOptionsOf(settings, incarnation_, metrics_), policy_),
+        configuration_(io_, *log_, policy_),
         context_{.settings = settings_,
                  .incarnation = incarnation_,
                  .io = io_,
@@ -94,7 +96,7 @@
  private:
   absl::Status Start() {
     links_.Start(*role_);
-    policy_.Start([this](const policy::Action& action) { Execute(action); });
+    policy_.Start([this](const policy::Action& action) { Execute(action); }, metrics_);
     absl::Status status = Open(link_acceptor_, settings_.link_listen);
     if (status.ok()) {
       status = Open(operator_acceptor_, settings_.operator_listen);
@@ -107,7 +109,6 @@
     }
     asio::co_spawn(io_, links_.Accept(link_acceptor_), asio::detached);
     asio::co_spawn(io_, ServeOperators(), asio::detached);
-    asio::co_spawn(io_, configuration_.Tail(), asio::detached);
     asio::co_spawn(io_, FollowHostList(), asio::detached);
     asio::co_spawn(io_, AwaitSignal(), asio::detached);
     return WriteAddresses();
@@ -136,11 +137,7 @@
   }
 
   void Execute(const policy::Action& action) {
-    if (const auto* open = std::get_if<policy::OpenLink>(&action)) {
-      links_.Open(open->member);
-    } else if (const auto* close = std::get_if<policy::CloseLink>(&action)) {
-      links_.Close(close->member);
-    } else {
+    if (!links_.Execute(action) && !configuration_.Execute(action)) {
       role_->Execute(action);
     }
   }
@@ -156,10 +153,13 @@
     asio::steady_timer timer(co_await asio::this_coro::executor);
     for (;;) {
       auto members = co_await hosts_->Read();
+      std::size_t count = 0;
       if (members.ok()) {
+        count = members->size();
         policy_.Post(policy::MembersListed{.members = *std::move(members)});
       }
-      timer.expires_after(limits::kHostListPollInterval);
+      timer.expires_after(std::max<std::chrono::milliseconds>(
+          limits::kHostListPollInterval, count * limits::kHostListPollPerHost));
       co_await timer.async_wait(asio::use_awaitable);
     }
   }
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -29,6 +29,10 @@
 
 class Ping;
 
+class ConfigurationRequest;
+
+class ConfigurationText;
+
 class Leaving;
 
 class Offer;
@@ -63,6 +67,12 @@
 
 class LedgerTotals;
 
+class KeptAnswer;
+
+class Claim;
+
+class Credit;
+
 class Message;
 
 typedef struct _Attempt__isset {
@@ -264,8 +274,10 @@
 std::ostream& operator<<(std::ostream& out, const Proof& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : configuration_offset(false) {}
+  _Ping__isset() : configuration_offset(false), rules_through(false), log_age_ms(false) {}
   bool configuration_offset :1;
+  bool rules_through :1;
+  bool log_age_ms :1;
 } _Ping__isset;
 
 class Ping : public virtual ::apache::thrift::TBase {
@@ -276,20 +288,32 @@
   Ping& operator=(const Ping&) noexcept;
   Ping& operator=(Ping&&) noexcept;
   Ping() noexcept
-       : configuration_offset(0) {
+       : configuration_offset(0),
+         rules_through(0),
+         log_age_ms(0) {
   }
 
   virtual ~Ping() noexcept;
   int64_t configuration_offset;
+  int64_t rules_through;
+  int64_t log_age_ms;
 
   _Ping__isset __isset;
 
   void __set_configuration_offset(const int64_t val);
 
+  void __set_rules_through(const int64_t val);
+
+  void __set_log_age_ms(const int64_t val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(configuration_offset == rhs.configuration_offset))
       return false;
+    if (!(rules_through == rhs.rules_through))
+      return false;
+    if (!(log_age_ms == rhs.log_age_ms))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
@@ -308,6 +332,138 @@
 
 std::ostream& operator<<(std::ostream& out, const Ping& obj);
 
+typedef struct _ConfigurationRequest__isset {
+  _ConfigurationRequest__isset() : have(false) {}
+  bool have :1;
+} _ConfigurationRequest__isset;
+
+class ConfigurationRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationRequest(const ConfigurationRequest&) noexcept;
+  ConfigurationRequest(ConfigurationRequest&&) noexcept;
+  ConfigurationRequest& operator=(const ConfigurationRequest&) noexcept;
+  ConfigurationRequest& operator=(ConfigurationRequest&&) noexcept;
+  ConfigurationRequest() noexcept
+                       : have(0) {
+  }
+
+  virtual ~ConfigurationRequest() noexcept;
+  int64_t have;
+
+  _ConfigurationRequest__isset __isset;
+
+  void __set_have(const int64_t val);
+
+  bool operator == (const ConfigurationRequest & rhs) const
+  {
+    if (!(have == rhs.have))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationRequest &a, ConfigurationRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationRequest& obj);
+
+typedef struct _ConfigurationText__isset {
+  _ConfigurationText__isset() : offset(false), through(false), base(false), prefix(false), suffix(false), middle(false), digest(false) {}
+  bool offset :1;
+  bool through :1;
+  bool base :1;
+  bool prefix :1;
+  bool suffix :1;
+  bool middle :1;
+  bool digest :1;
+} _ConfigurationText__isset;
+
+class ConfigurationText : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationText(const ConfigurationText&);
+  ConfigurationText(ConfigurationText&&) noexcept;
+  ConfigurationText& operator=(const ConfigurationText&);
+  ConfigurationText& operator=(ConfigurationText&&) noexcept;
+  ConfigurationText() noexcept
+                    : offset(0),
+                      through(0),
+                      base(0),
+                      prefix(0),
+                      suffix(0),
+                      middle(),
+                      digest(0) {
+  }
+
+  virtual ~ConfigurationText() noexcept;
+  int64_t offset;
+  int64_t through;
+  int64_t base;
+  int64_t prefix;
+  int64_t suffix;
+  std::string middle;
+  int64_t digest;
+
+  _ConfigurationText__isset __isset;
+
+  void __set_offset(const int64_t val);
+
+  void __set_through(const int64_t val);
+
+  void __set_base(const int64_t val);
+
+  void __set_prefix(const int64_t val);
+
+  void __set_suffix(const int64_t val);
+
+  void __set_middle(const std::string& val);
+
+  void __set_digest(const int64_t val);
+
+  bool operator == (const ConfigurationText & rhs) const
+  {
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(through == rhs.through))
+      return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(prefix == rhs.prefix))
+      return false;
+    if (!(suffix == rhs.suffix))
+      return false;
+    if (!(middle == rhs.middle))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationText &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationText & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationText &a, ConfigurationText &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationText& obj);
+
 
 class Leaving : public virtual ::apache::thrift::TBase {
  public:
@@ -342,7 +498,7 @@
 std::ostream& operator<<(std::ostream& out, const Leaving& obj);
 
 typedef struct _Offer__isset {
-  _Offer__isset() : attempt(false), customer(false), target(false), cost_hint(false), digest(false), repeatable(false), key(false), grant(false), method(false), path(false), content_type(false), body(false), customer_name(false), idempotency_key(false) {}
+  _Offer__isset() : attempt(false), customer(false), target(false), cost_hint(false), digest(false), repeatable(false), key(false), grant(false), method(false), path(false), content_type(false), body(false), customer_name(false), idempotency_key(false), key_age_us(false) {}
   bool attempt :1;
   bool customer :1;
   bool target :1;
@@ -357,6 +513,7 @@
   bool body :1;
   bool customer_name :1;
   bool idempotency_key :1;
+  bool key_age_us :1;
 } _Offer__isset;
 
 class Offer : public virtual ::apache::thrift::TBase {
@@ -379,7 +536,8 @@
           content_type(),
           body(),
           customer_name(),
-          idempotency_key() {
+          idempotency_key(),
+          key_age_us(0) {
   }
 
   virtual ~Offer() noexcept;
@@ -397,6 +555,7 @@
   std::string body;
   std::string customer_name;
   std::string idempotency_key;
+  int64_t key_age_us;
 
   _Offer__isset __isset;
 
@@ -428,6 +587,8 @@
 
   void __set_idempotency_key(const std::string& val);
 
+  void __set_key_age_us(const int64_t val);
+
   bool operator == (const Offer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -458,6 +619,8 @@
       return false;
     if (!(idempotency_key == rhs.idempotency_key))
       return false;
+    if (!(key_age_us == rhs.key_age_us))
+      return false;
     return true;
   }
   bool operator != (const Offer &rhs) const {
@@ -1351,8 +1514,213 @@
 
 std::ostream& operator<<(std::ostream& out, const LedgerTotals& obj);
 
+typedef struct _KeptAnswer__isset {
+  _KeptAnswer__isset() : status(false), content_type(false), body(false) {}
+  bool status :1;
+  bool content_type :1;
+  bool body :1;
+} _KeptAnswer__isset;
+
+class KeptAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeptAnswer(const KeptAnswer&);
+  KeptAnswer(KeptAnswer&&) noexcept;
+  KeptAnswer& operator=(const KeptAnswer&);
+  KeptAnswer& operator=(KeptAnswer&&) noexcept;
+  KeptAnswer() noexcept
+             : status(0),
+               content_type(),
+               body() {
+  }
+
+  virtual ~KeptAnswer() noexcept;
+  int32_t status;
+  std::string content_type;
+  std::string body;
+
+  _KeptAnswer__isset __isset;
+
+  void __set_status(const int32_t val);
+
+  void __set_content_type(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const KeptAnswer & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(content_type == rhs.content_type))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const KeptAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeptAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeptAnswer &a, KeptAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const KeptAnswer& obj);
+
+typedef struct _Claim__isset {
+  _Claim__isset() : kind(false), key(false), content(false), customer(false), nonce(false), agent(false), written_us(false), answer(false) {}
+  bool kind :1;
+  bool key :1;
+  bool content :1;
+  bool customer :1;
+  bool nonce :1;
+  bool agent :1;
+  bool written_us :1;
+  bool answer :1;
+} _Claim__isset;
+
+class Claim : public virtual ::apache::thrift::TBase {
+ public:
+
+  Claim(const Claim&);
+  Claim(Claim&&) noexcept;
+  Claim& operator=(const Claim&);
+  Claim& operator=(Claim&&) noexcept;
+  Claim() noexcept
+        : kind(0),
+          key(0),
+          content(0),
+          customer(0),
+          nonce(0),
+          agent(0),
+          written_us(0) {
+  }
+
+  virtual ~Claim() noexcept;
+  int32_t kind;
+  int64_t key;
+  int64_t content;
+  int64_t customer;
+  int64_t nonce;
+  int64_t agent;
+  int64_t written_us;
+  KeptAnswer answer;
+
+  _Claim__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_key(const int64_t val);
+
+  void __set_content(const int64_t val);
+
+  void __set_customer(const int64_t val);
+
+  void __set_nonce(const int64_t val);
+
+  void __set_agent(const int64_t val);
+
+  void __set_written_us(const int64_t val);
+
+  void __set_answer(const KeptAnswer& val);
+
+  bool operator == (const Claim & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(nonce == rhs.nonce))
+      return false;
+    if (!(agent == rhs.agent))
+      return false;
+    if (!(written_us == rhs.written_us))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const Claim &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Claim & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Claim &a, Claim &b);
+
+std::ostream& operator<<(std::ostream& out, const Claim& obj);
+
+typedef struct _Credit__isset {
+  _Credit__isset() : attempt(false), taken(false) {}
+  bool attempt :1;
+  bool taken :1;
+} _Credit__isset;
+
+class Credit : public virtual ::apache::thrift::TBase {
+ public:
+
+  Credit(const Credit&) noexcept;
+  Credit(Credit&&) noexcept;
+  Credit& operator=(const Credit&) noexcept;
+  Credit& operator=(Credit&&) noexcept;
+  Credit() noexcept
+         : taken(0) {
+  }
+
+  virtual ~Credit() noexcept;
+  Attempt attempt;
+  int64_t taken;
+
+  _Credit__isset __isset;
+
+  void __set_attempt(const Attempt& val);
+
+  void __set_taken(const int64_t val);
+
+  bool operator == (const Credit & rhs) const
+  {
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(taken == rhs.taken))
+      return false;
+    return true;
+  }
+  bool operator != (const Credit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Credit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Credit &a, Credit &b);
+
+std::ostream& operator<<(std::ostream& out, const Credit& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false), ledger_report(false), ledger_totals(false) {}
+  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false), ledger_report(false), ledger_totals(false), configuration_request(false), configuration_text(false), claim(false), credit(false) {}
   bool hello :1;
   bool proof :1;
   bool ping :1;
@@ -1370,6 +1738,10 @@
   bool agent_report :1;
   bool ledger_report :1;
   bool ledger_totals :1;
+  bool configuration_request :1;
+  bool configuration_text :1;
+  bool claim :1;
+  bool credit :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1400,6 +1772,10 @@
   AgentReport agent_report;
   LedgerReport ledger_report;
   LedgerTotals ledger_totals;
+  ConfigurationRequest configuration_request;
+  ConfigurationText configuration_text;
+  Claim claim;
+  Credit credit;
 
   _Message__isset __isset;
 
@@ -1437,6 +1813,14 @@
 
   void __set_ledger_totals(const LedgerTotals& val);
 
+  void __set_configuration_request(const ConfigurationRequest& val);
+
+  void __set_configuration_text(const ConfigurationText& val);
+
+  void __set_claim(const Claim& val);
+
+  void __set_credit(const Credit& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1507,6 +1891,22 @@
       return false;
     else if (__isset.ledger_totals && !(ledger_totals == rhs.ledger_totals))
       return false;
+    if (__isset.configuration_request != rhs.__isset.configuration_request)
+      return false;
+    else if (__isset.configuration_request && !(configuration_request == rhs.configuration_request))
+      return false;
+    if (__isset.configuration_text != rhs.__isset.configuration_text)
+      return false;
+    else if (__isset.configuration_text && !(configuration_text == rhs.configuration_text))
+      return false;
+    if (__isset.claim != rhs.__isset.claim)
+      return false;
+    else if (__isset.claim && !(claim == rhs.claim))
+      return false;
+    if (__isset.credit != rhs.__isset.credit)
+      return false;
+    else if (__isset.credit && !(credit == rhs.credit))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -27,6 +27,26 @@
 
 struct Ping {
   1: i64 configuration_offset
+  // Every record of the stream of rules before this offset is accounted for.
+  2: i64 rules_through
+  // Time since the stream was last known to be read to its end; -1 if never.
+  3: i64 log_age_ms
+}
+
+struct ConfigurationRequest {
+  // Offset of the configuration that the sender has.
+  1: i64 have
+}
+
+// A configuration as a change of the one at `base`; -1 is the empty text.
+struct ConfigurationText {
+  1: i64 offset
+  2: i64 through
+  3: i64 base
+  4: i64 prefix
+  5: i64 suffix
+  6: binary middle
+  7: i64 digest
 }
 
 // A process is about to leave.
@@ -50,6 +70,8 @@
   12: binary body
   13: string customer_name
   14: string idempotency_key
+  // Microseconds since the key was made, 0 if the key doesn't tell.
+  40: i64 key_age_us
 }
 
 // The attempt hasn't started and the agent has forgotten it.
@@ -149,6 +171,32 @@
   2: list<LedgerTotal> totals
 }
 
+// A finished answer, kept for calls with the same key.
+struct KeptAnswer {
+  1: i32 status
+  2: string content_type
+  3: binary body
+}
+
+// A record of a claim stream in the platform's log.
+struct Claim {
+  1: i32 kind
+  2: i64 key
+  3: i64 content
+  4: i64 customer
+  5: i64 nonce
+  6: i64 agent
+  // Unix time in microseconds.
+  7: i64 written_us
+  8: optional KeptAnswer answer
+}
+
+// Bytes of an attempt's answer that the caller has taken, entry to agent.
+struct Credit {
+  1: Attempt attempt
+  2: i64 taken
+}
+
 // One frame on a link. Numbers of fields are never used again.
 union Message {
   1: Hello hello
@@ -168,4 +216,8 @@
   15: AgentReport agent_report
   20: LedgerReport ledger_report
   21: LedgerTotals ledger_totals
+  50: ConfigurationRequest configuration_request
+  51: ConfigurationText configuration_text
+  40: Claim claim
+  41: Credit credit
 }
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -43,6 +43,9 @@
 
 http::Response Json(unsigned status, const nlohmann::json& body);
 
+/// An answer that breaks the connection off before its first byte of body.
+http::Response LostAnswer();
+
 /// A run as GET /standin/runs reports it; times are Unix time in microseconds.
 struct RunRecord {
   std::string id;
@@ -74,7 +77,7 @@
 
 struct EngineOptions {
   std::vector<std::string> models{"crest"};
-  /// Tokens a second of each request.
+  /// Tokens a second of each request while the load is well below the bearing.
   double rate = 200;
   /// Requests that a warm engine bears at a time; it crashes above.
   std::uint32_t bears = 8;
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -128,8 +128,9 @@
     return;
   }
   const auto spec = std::ranges::find(options_.backends, daemon.backend, &BackendSpec::name);
-  out << "[backend]\nkind = \"" << (spec->kind == "engine" ? "model" : "service")
-      << "\"\naddress = \"" << backend_addresses_.at(daemon.backend) << "\"\n";
+  out << "[backend]\nname = \"" << daemon.backend << "\"\nkind = \""
+      << (spec->kind == "engine" ? "model" : "service") << "\"\naddress = \""
+      << backend_addresses_.at(daemon.backend) << "\"\n";
 }
 
 void Fleet::StartDaemon(const std::string& name) {
@@ -190,6 +191,21 @@
   }
 }
 
+bool Fleet::AwaitStatus(const std::string& daemon,
+                        const std::function<bool(const json&)>& fits) const {
+  return Eventually([&] {
+    const json status = GetJson(operator_address(daemon), "/status");
+    return status.is_object() && fits(status);
+  });
+}
+
+std::vector<std::string> Fleet::daemons() const {
+  std::vector<std::string> names;
+  std::ranges::transform(daemons_, std::back_inserter(names),
+                         [](const auto& item) { return item.first; });
+  return names;
+}
+
 std::vector<std::string> Fleet::entry_addresses() const {
   std::vector<std::string> addresses;
   for (const auto& entry : options_.entries) {
