Offer waiting requests in turn over customers, and expect a cost before any is known

Cause: with every customer behind one entry, an entry that found room offered its requests in order of arrival, so the first customers of a full queue took every free slot; the gap of the start took 20 s to be caught up. And before the first request had ended every cost was expected to be 0, so an agent granted one customer all its slots.

--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -183,6 +183,8 @@
 
 // Fair share.
 
+/// Cost that a request is expected to have before any has ended, in units of service.
+inline constexpr double kExpectedService = 100;
 /// Interval between an agent's reports to a ledger keeper.
 inline constexpr milliseconds kLedgerReportInterval{1000};
 /// Time after which an unanswered report is given up and sent again.
--- a/packages/policy/src/cost_estimator.h
+++ b/packages/policy/src/cost_estimator.h
@@ -2,6 +2,7 @@
 
 #include <absl/container/btree_map.h>
 
+#include "lagoonwind/limits.h"
 #include "lagoonwind/policy.h"
 
 namespace lagoonwind::policy {
@@ -13,7 +14,7 @@
   /// Takes in the cost of a request that ended, in units of service.
   void Learn(CustomerId customer, double cost);
   /// Expected cost of the customer's next request, in units of service; that of all customers for
-  /// one without history.
+  /// one without history, and limits::kExpectedService before any request ended.
   [[nodiscard]] double Typical(CustomerId customer) const;
   /// Cost that a new request is charged at its start.
   [[nodiscard]] double Expect(CustomerId customer, CostEstimate estimate) const;
@@ -26,7 +27,7 @@
   static void Learn(Row& row, double cost);
 
   absl::btree_map<CustomerId, Row> rows_;
-  Row all_;
+  Row all_{.mean = limits::kExpectedService, .quantile = limits::kExpectedService};
 };
 
 }  // namespace lagoonwind::policy
--- a/packages/policy/src/routing_controller.cc
+++ b/packages/policy/src/routing_controller.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <deque>
 #include <ranges>
 
 #include "controller.h"
@@ -102,21 +103,65 @@
            !board.configuration->ZoneOut(member->second.member.zone);
   }
 
-  /// Offers waiting requests to the agents with the most room, as long as there is any.
+  /// A customer's waiting requests in order of arrival, and what counts for whose turn it is.
+  struct Queue {
+    std::deque<RequestId> waiting;
+    /// Requests at agents, for each unit of share.
+    double placed = 0;
+    std::uint32_t share = 1;
+  };
+  using QueueMap = absl::btree_map<CustomerId, Queue>;
+
+  static QueueMap QueuesOf(const Blackboard& board) {
+    QueueMap queues;
+    for (const auto& [id, request] : board.requests) {
+      const CustomerId customer = request.traits.customer;
+      Queue& queue = queues[customer];
+      queue.share = board.configuration->Share(customer);
+      if (request.phase == RequestPhase::kWaiting) {
+        queue.waiting.push_back(id);
+      } else if (request.agent.valid()) {
+        queue.placed += 1.0 / queue.share;
+      }
+    }
+    absl::erase_if(queues, [](const auto& item) { return item.second.waiting.empty(); });
+    return queues;
+  }
+
+  static bool AnyRoom(const Blackboard& board) {
+    return std::ranges::any_of(board.agents, [](const auto& item) {
+      return item.second.report.free > item.second.offered;
+    });
+  }
+
+  /// Offers waiting requests to the agents with the most room, as long as there is any; the
+  /// customer with the fewest requests at agents for its share goes first.
   static void PlaceFreshRequests(Blackboard& board, ActionList& actions) {
+    if (!AnyRoom(board)) {
+      return;
+    }
+    QueueMap queues = QueuesOf(board);
     std::vector<TargetId> full;
-    for (auto& [id, request] : board.requests) {
+    while (!queues.empty()) {
+      const auto next =
+          std::ranges::min_element(queues, {}, [](const auto& item) { return item.second.placed; });
+      Queue& queue = next->second;
+      const RequestId id = queue.waiting.front();
+      queue.waiting.pop_front();
+      OwnedRequest& request = board.requests[id];
       const TargetId target = request.traits.target;
-      if (request.phase != RequestPhase::kWaiting || std::ranges::count(full, target) > 0) {
-        continue;
-      }
-      const MemberId best = BestAgent(board, target);
-      if (!best.valid()) {
+      const bool is_full = std::ranges::count(full, target) > 0;
+      const MemberId best = is_full ? MemberId{} : BestAgent(board, target);
+      if (best.valid()) {
+        ++board.agents[best].offered;
+        queue.placed += 1.0 / queue.share;
+        Offer(id, request, best, GrantId{}, board, actions);
+      } else if (!is_full) {
         full.push_back(target);
-        continue;
       }
-      ++board.agents[best].offered;
-      Offer(id, request, best, GrantId{}, board, actions);
+      if (queue.waiting.empty()) {
+        queues.erase(next);
+      }
     }
   }
 
