--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -196,9 +196,9 @@
 /// Time without demand anywhere after which a customer counts as newly backlogged.
 inline constexpr milliseconds kLedgerIdleTime{5000};
 /// Least interval between an agent's reports to a ledger keeper in a small fleet.
-inline constexpr milliseconds kLedgerLeastInterval{200};
+inline constexpr milliseconds kLedgerLeastInterval{100};
 /// Growth of that interval with each agent of the fleet.
-inline constexpr milliseconds kLedgerIntervalPerAgent{20};
+inline constexpr milliseconds kLedgerIntervalPerAgent{10};
 /// Largest lag behind the upper quartile of backlogged customers that is caught up: this many mean
 /// requests of the customer with the dearest ones, and this many times the largest service in
 /// flight of a customer.
