--- a/tests/end_to_end/failure_test.cc
+++ b/tests/end_to_end/failure_test.cc
@@ -2,11 +2,9 @@
 
 #include <atomic>
 #include <csignal>
-#include <fstream>
 #include <map>
 #include <mutex>
 #include <set>
-#include <sstream>
 #include <thread>
 
 #include "fleet.h"
@@ -20,12 +18,6 @@
 constexpr int kKeysOfThread = 40;
 constexpr int kMostTries = 12;
 
-std::string LocalRules() {
-  std::ostringstream text;
-  text << std::ifstream(LAGOONWIND_SOURCE_DIR "/examples/01-local-fleet/rules.txt").rdbuf();
-  return text.str();
-}
-
 /// What all callers were told.
 class Callers {
  public:
@@ -112,8 +104,8 @@
 }
 
 TEST_CASE("kills and freezes of real processes: no key runs twice, every not-run is true") {
-  Fleet fleet(
-      LocalFleetOptions(LAGOONWIND_BUILD_DIR, LAGOONWIND_BUILD_DIR "/failure_test", LocalRules()));
+  Fleet fleet(LocalFleetOptions(LAGOONWIND_BUILD_DIR, LAGOONWIND_BUILD_DIR "/failure_test",
+                                LocalRules(LAGOONWIND_SOURCE_DIR)));
   fleet.AwaitReady();
   Callers callers(fleet.entry_addresses());
   callers.Start();
--- a/tests/end_to_end/operators_test.cc
+++ b/tests/end_to_end/operators_test.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 #include "fleet.h"
@@ -14,19 +12,13 @@
 
 using nlohmann::json;
 
-std::string LocalRules() {
-  std::ostringstream text;
-  text << std::ifstream(LAGOONWIND_SOURCE_DIR "/examples/01-local-fleet/rules.txt").rdbuf();
-  return text.str();
-}
-
 /// The local fleet, ready, with what an operator does to it.
 struct Operators {
   Fleet fleet;
 
   explicit Operators(const std::string& name)
       : fleet(LocalFleetOptions(LAGOONWIND_BUILD_DIR, LAGOONWIND_BUILD_DIR "/" + name,
-                                LocalRules())) {
+                                LocalRules(LAGOONWIND_SOURCE_DIR))) {
     fleet.AwaitReady();
   }
 
@@ -58,8 +50,9 @@
 
 TEST_CASE("racing operators: one is told that it won, the other what won instead") {
   const Operators operators("operators_race_test");
-  const std::string texts[] = {LocalRules() + "zone north out # asked by: a\n",
-                               LocalRules() + "zone south out # asked by: b\n"};
+  const std::string texts[] = {
+      LocalRules(LAGOONWIND_SOURCE_DIR) + "zone north out # asked by: a\n",
+      LocalRules(LAGOONWIND_SOURCE_DIR) + "zone south out # asked by: b\n"};
   std::array<json, 2> answers;
   {
     const std::jthread other([&] { answers[1] = operators.Propose("agent-3", texts[1], 0); });
@@ -77,8 +70,8 @@
 TEST_CASE("rules apply once although the log loses its answers") {
   const Operators operators("operators_lost_test");
   operators.Fault({{"lose_appends", 1}});
-  const json answer =
-      operators.Propose("entry-2", LocalRules() + "zone north out # asked by: a\n", 0);
+  const json answer = operators.Propose(
+      "entry-2", LocalRules(LAGOONWIND_SOURCE_DIR) + "zone north out # asked by: a\n", 0);
   CHECK(answer.at("status") == 200);
   CHECK(operators.InForceEverywhere(answer.at("offset")));
   const auto history = FetchNow(operators.fleet.operator_address("agent-1"),
@@ -95,7 +88,7 @@
   Fleet& fleet = operators.fleet;
   fleet.process("agent-1").Signal(SIGSTOP);
   fleet.process("agent-2").Kill();
-  const std::string text = LocalRules() + "zone north out # asked by: a\n";
+  const std::string text = LocalRules(LAGOONWIND_SOURCE_DIR) + "zone north out # asked by: a\n";
   const json answer = operators.Propose("entry-1", text, 0);
   REQUIRE(answer.at("status") == 200);
   const std::int64_t offset = answer.at("offset");
@@ -113,14 +106,14 @@
   CHECK(operators.InForce("entry-2", offset));
   CHECK(operators.Propose("entry-1", text, offset).at("status") == 503);
   operators.Fault(json::object());
-  const json next = operators.Propose("entry-1", LocalRules(), offset);
+  const json next = operators.Propose("entry-1", LocalRules(LAGOONWIND_SOURCE_DIR), offset);
   CHECK(next.at("status") == 200);
   CHECK(operators.InForceEverywhere(next.at("offset")));
 }
 
 TEST_CASE("a zone that is taken out closes its daemons and opens them again") {
   const Operators operators("operators_zone_test");
-  std::string rules = LocalRules();
+  std::string rules = LocalRules(LAGOONWIND_SOURCE_DIR);
   const auto at = rules.find("zone lake-1 in");
   REQUIRE(at != std::string::npos);
   const json out = operators.Propose("agent-3", rules.replace(at, 14, "zone lake-1 out"), 0);
@@ -132,7 +125,8 @@
   CHECK(closed("agent-1", "zone-out"));
   CHECK(closed("entry-1", "zone-out"));
   CHECK(closed("agent-2", "none"));
-  CHECK(operators.Propose("entry-1", LocalRules(), out.at("offset")).at("status") == 200);
+  CHECK(operators.Propose("entry-1", LocalRules(LAGOONWIND_SOURCE_DIR), out.at("offset"))
+            .at("status") == 200);
   CHECK(closed("agent-1", "none"));
   CHECK(closed("entry-1", "none"));
 }
--- a/tests/end_to_end/whole_path_test.cc
+++ b/tests/end_to_end/whole_path_test.cc
@@ -1,7 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <fstream>
-#include <sstream>
 
 #include "fleet.h"
 
@@ -10,12 +8,6 @@
 
 using nlohmann::json;
 
-std::string LocalRules() {
-  std::ostringstream text;
-  text << std::ifstream(LAGOONWIND_SOURCE_DIR "/examples/01-local-fleet/rules.txt").rdbuf();
-  return text.str();
-}
-
 http::Request ModelRequest(const std::string& prompt, bool stream) {
   const json body{{"model", "crest"},
                   {"messages", {{{"role", "user"}, {"content", prompt}}}},
@@ -45,7 +37,7 @@
 
 TEST_CASE("a request is served end to end by separate processes") {
   Fleet fleet(LocalFleetOptions(LAGOONWIND_BUILD_DIR, LAGOONWIND_BUILD_DIR "/whole_path_test",
-                                LocalRules()));
+                                LocalRules(LAGOONWIND_SOURCE_DIR)));
   fleet.AwaitReady();
   const std::string entry = fleet.entry_addresses().front();
 
--- a/tests/proofs/drain_test.cc
+++ b/tests/proofs/drain_test.cc
@@ -1,8 +1,6 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 #include "fleet.h"
@@ -12,12 +10,6 @@
 
 using nlohmann::json;
 
-std::string LocalRules() {
-  std::ostringstream text;
-  text << std::ifstream(LAGOONWIND_SOURCE_DIR "/examples/01-local-fleet/rules.txt").rdbuf();
-  return text.str();
-}
-
 http::Request Stream(int tokens) {
   const json body{{"model", "crest"},
                   {"messages", {{{"role", "user"}, {"content", "a long plan"}}}},
@@ -48,8 +40,8 @@
 TEST_CASE("SIGTERM to entries and agents cuts off no request, and another entry takes new ones") {
   constexpr std::size_t kStreams = 3;
   constexpr int kTokens = 200;
-  Fleet fleet(
-      LocalFleetOptions(LAGOONWIND_BUILD_DIR, LAGOONWIND_BUILD_DIR "/drain_test", LocalRules()));
+  Fleet fleet(LocalFleetOptions(LAGOONWIND_BUILD_DIR, LAGOONWIND_BUILD_DIR "/drain_test",
+                                LocalRules(LAGOONWIND_SOURCE_DIR)));
   fleet.AwaitReady();
   const auto entries = fleet.entry_addresses();
   std::vector<absl::StatusOr<http::Response>> answers(kStreams, absl::UnknownError("none"));
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -58,6 +58,12 @@
   return result;
 }
 
+std::string LocalRules(const std::filesystem::path& source) {
+  std::ostringstream text;
+  text << std::ifstream(source / "examples/01-local-fleet/rules.txt").rdbuf();
+  return text.str();
+}
+
 FleetOptions LocalFleetOptions(std::filesystem::path programs, std::filesystem::path work,
                                std::string rules) {
   return FleetOptions{
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -47,6 +47,10 @@
 FleetOptions LocalFleetOptions(std::filesystem::path programs, std::filesystem::path work,
                                std::string rules);
 
+/// Rules of the local fleet.
+/// \param source  Directory of the repository.
+std::string LocalRules(const std::filesystem::path& source);
+
 /// The processes of one fleet. Throws std::runtime_error if one doesn't come up. Not thread safe.
 class Fleet {
  public:
