--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,10 +4,11 @@
 # With --serve it leaves the fleet up until interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-scripts/setup.sh
-scripts/build.sh
 work=build/local-fleet
+# An old fleet.json must not look like the one of this run.
 rm -rf "$work"
+scripts/setup.sh
+scripts/build.sh
 build/local_fleet --programs build --work "$work" --rules examples/01-local-fleet/rules.txt &
 fleet=$!
 stop() {
@@ -27,8 +28,11 @@
 entries=()
 while read -r address; do entries+=(--entry "$address"); done < <(
   sed -n '/"entries"/,/\]/p' "$work/fleet.json" | grep -oE '[0-9.]+:[0-9]+')
+daemons=()
+while read -r address; do daemons+=(--daemon "$address"); done < <(
+  grep '"operator"' "$work/fleet.json" | grep -oE '[0-9.]+:[0-9]+')
 status=0
-build/lagoonctl "${entries[@]}" --mix examples/01-local-fleet/load.toml --seconds 5 load || status=$?
+build/lagoonctl "${entries[@]}" "${daemons[@]}" --mix examples/01-local-fleet/load.toml --seconds 5 load || status=$?
 build/check_runs "$work/fleet.json" || status=1
 trap - EXIT
 stop || { echo "demo: the fleet didn't drain cleanly" >&2; status=1; }
