--- a/tests/end_to_end/whole_path_test.cc
+++ b/tests/end_to_end/whole_path_test.cc
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-
 #include "fleet.h"
 
 namespace lagoonwind::testing {
