Say what happens to claim records beyond the outbox's limit

Cause: the limit's comment said that the oldest are dropped; the code drops the one with the lowest nonce. Measured: nothing; a comment only.

--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -161,7 +161,7 @@
 inline constexpr milliseconds kClaimRetryInterval{500};
 /// Largest number of claim records in one append.
 inline constexpr std::size_t kMaxClaimBatch = 256;
-/// Largest number of releases and completions that wait for the log; the oldest are dropped.
+/// Largest number of releases and completions that wait for the log; one is dropped for each more.
 inline constexpr std::size_t kMaxClaimOutbox = 4096;
 /// Largest answer that is kept for calls with the same key, in bytes.
 inline constexpr std::size_t kMaxKeptAnswerBytes = 16U << 10U;
