--- a/packages/base/include/lagoonwind/limits.h
+++ b/packages/base/include/lagoonwind/limits.h
@@ -69,6 +69,21 @@
 /// Interval between observations of a backend server by its agent.
 inline constexpr milliseconds kBackendPollInterval{500};
 
+// Retries and requests that crash backend servers.
+
+/// Retries that an entry allows itself, as a share of the requests that arrive.
+inline constexpr double kRetryShare = 0.1;
+/// Retries that an entry can save up, so that one lost backend server doesn't use up the budget.
+inline constexpr double kMaxSavedRetries = 64;
+/// Longest delay before the first retry; doubles with each further one.
+inline constexpr milliseconds kRetryBaseDelay{50};
+/// Longest delay before any retry.
+inline constexpr milliseconds kRetryMaxDelay{2000};
+/// Time for which a suspect or a quarantined digest is remembered.
+inline constexpr seconds kSuspectTime{600};
+/// Largest number of digests that are remembered.
+inline constexpr std::size_t kMaxSuspects = 256;
+
 // Capacity of a backend server.
 
 /// Largest window that an agent ever opens, in requests.
--- a/packages/policy/include/lagoonwind/policy.h
+++ b/packages/policy/include/lagoonwind/policy.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lagoonwind/base.h"
+#include "lagoonwind/limits.h"
 #include "lagoonwind/rules.h"
 
 /// \file
@@ -82,6 +83,21 @@
   auto operator<=>(const Demand&) const = default;
 };
 
+/// What is known of a request's content after a crash. Spreads by the higher level.
+/// Levels alternate: an odd one is a suspect, which a crash has found running; an even one was
+/// acquitted by a run that ended well. From `kQuarantineLevel` on it is quarantined.
+struct Suspect {
+  Digest digest;
+  std::uint32_t level = 0;
+  /// Time for which this is still remembered.
+  Duration remaining{0};
+
+  auto operator<=>(const Suspect&) const = default;
+};
+
+/// Level from which a digest doesn't run.
+inline constexpr std::uint32_t kQuarantineLevel = 7;
+
 /// What an agent tells entries about itself.
 struct AgentReport {
   std::vector<TargetId> targets;
@@ -129,6 +145,11 @@
 /// Operators or the platform asked this process to leave.
 struct DrainRequested {};
 
+/// Another process knows of suspects.
+struct SuspectsReported {
+  std::vector<Suspect> suspects;
+};
+
 // Events of an entry.
 
 struct RequestArrived {
@@ -221,10 +242,10 @@
 };
 
 using Event = std::variant<MembersListed, LinkUp, LinkDown, ConfigurationAccepted, DrainRequested,
-                           RequestArrived, CallerLeft, AnswerBegan, AttemptQueued, AttemptStarted,
-                           AttemptEnded, GrantReceived, AgentReported, OfferReceived,
-                           CancelReceived, GrantDeclined, DemandReported, ServiceAccrued,
-                           AnswerStarted, AttemptFinished, BackendObserved>;
+                           SuspectsReported, RequestArrived, CallerLeft, AnswerBegan, AttemptQueued,
+                           AttemptStarted, AttemptEnded, GrantReceived, AgentReported,
+                           OfferReceived, CancelReceived, GrantDeclined, DemandReported,
+                           ServiceAccrued, AnswerStarted, AttemptFinished, BackendObserved>;
 
 // Actions of both roles.
 
@@ -236,6 +257,11 @@
   MemberId member;
 };
 
+/// Tell every linked process of the other role.
+struct SendSuspects {
+  std::vector<Suspect> suspects;
+};
+
 // Actions of an entry.
 
 /// Send a request to an agent as a new attempt.
@@ -295,9 +321,9 @@
   AgentReport report;
 };
 
-using Action = std::variant<OpenLink, CloseLink, SendOffer, SendCancel, SendDecline, SendDemand,
-                            FinishRequest, StartAttempt, QueueAttempt, RefuseAttempt, CancelAttempt,
-                            SendGrant, SendAgentReport>;
+using Action = std::variant<OpenLink, CloseLink, SendSuspects, SendOffer, SendCancel, SendDecline,
+                            SendDemand, FinishRequest, StartAttempt, QueueAttempt, RefuseAttempt,
+                            CancelAttempt, SendGrant, SendAgentReport>;
 
 /// What was decided; `Describe` gives it in words.
 enum class DecisionKind {
@@ -319,6 +345,8 @@
   kLinkUp,
   kLinkDown,
   kConfigurationAccepted,
+  kDigestSuspected,
+  kDigestQuarantined,
 };
 
 /// One entry of the decision ring.
@@ -359,6 +387,11 @@
   std::uint32_t waiting = 0;
   std::uint64_t grants_sent = 0;
   std::uint64_t grants_expired = 0;
+  /// Attempts that were tried again, and those that the retry budget didn't allow.
+  std::uint64_t retries = 0;
+  std::uint64_t retries_denied = 0;
+  /// Digests that are quarantined now.
+  std::uint32_t quarantined = 0;
   std::vector<CustomerStats> customers;
   std::vector<MemberStats> members;
 };
@@ -373,6 +406,8 @@
   std::uint64_t seed = 1;
   /// Tags of the agent's backend server.
   std::vector<std::string> tags;
+  /// Retries that an entry allows itself, as a share of the requests that arrive.
+  double retry_share = limits::kRetryShare;
 };
 
 /// The decisions of one process. Not thread safe: the caller serialises all methods.
--- a/packages/policy/src/admission_controller.cc
+++ b/packages/policy/src/admission_controller.cc
@@ -36,6 +36,10 @@
       Refuse(offer, Reason::kNotServed, board, actions);
     } else if (board.Closed()) {
       Refuse(offer, board.draining ? Reason::kDraining : Reason::kZoneOut, board, actions);
+    } else if (board.Quarantined(offer.traits.digest)) {
+      Refuse(offer, Reason::kQuarantined, board, actions);
+    } else if (board.MustRunLater(offer.traits.digest)) {
+      Refuse(offer, Reason::kNoRoom, board, actions);
     } else if (board.Room() > 0 && (granted || !OthersWait(board))) {
       Start(offer, board, actions);
     } else {
--- a/packages/policy/src/blackboard.cc
+++ b/packages/policy/src/blackboard.cc
@@ -50,6 +50,21 @@
   return rule->backend_tag.empty() || std::ranges::count(init.tags, rule->backend_tag) > 0;
 }
 
+bool Blackboard::Quarantined(Digest digest) const {
+  const auto found = suspects.find(digest);
+  return found != suspects.end() && found->second.quarantined();
+}
+
+bool Blackboard::MustRunLater(Digest digest) const {
+  const auto suspected = [this](Digest one) {
+    const auto found = suspects.find(one);
+    return found != suspects.end() && found->second.suspected();
+  };
+  return suspected(digest) && std::ranges::any_of(running, [&](const auto& item) {
+           return suspected(item.second.traits.digest);
+         });
+}
+
 void Blackboard::Record(Decision decision) {
   decision.at = now;
   decisions.Add(decision);
--- a/packages/policy/src/blackboard.h
+++ b/packages/policy/src/blackboard.h
@@ -32,7 +32,8 @@
   Incarnation incarnation;
 };
 
-enum class RequestPhase { kWaiting, kOffered, kRunning };
+/// A request that backs off waits for its next attempt and isn't counted as demand.
+enum class RequestPhase { kWaiting, kOffered, kRunning, kBackingOff };
 
 /// A request that this entry owns.
 struct OwnedRequest {
@@ -46,6 +47,12 @@
   /// Agent of the current attempt.
   MemberId agent;
   bool answer_began = false;
+  /// Attempts that count towards limits::kMaxAttempts.
+  std::uint32_t tries = 0;
+  /// When the current attempt started.
+  Time started;
+  /// When backing off ends.
+  Time retry_at;
 };
 
 /// What an entry knows of an agent.
@@ -103,6 +110,17 @@
   bool stalled = false;
 };
 
+/// A digest that a crash has found running.
+struct SuspectState {
+  std::uint32_t level = 0;
+  /// When the level last changed here. What started before says nothing new.
+  Time changed;
+  Time expires;
+
+  [[nodiscard]] bool quarantined() const { return level >= kQuarantineLevel; }
+  [[nodiscard]] bool suspected() const { return !quarantined() && level % 2 == 1; }
+};
+
 /// The tables that controllers read and write. Each table has one writer, named beside it, except
 /// where a comment says otherwise. Ordered maps keep iteration the same on every run.
 struct Blackboard {
@@ -136,6 +154,9 @@
   // Agent: FairShareController. Service per customer, in units of service.
   absl::btree_map<CustomerId, double> service;
 
+  // Both roles: QuarantineController.
+  absl::btree_map<Digest, SuspectState> suspects;
+
   // Every controller.
   DecisionRing decisions;
   Stats counters;
@@ -147,6 +168,9 @@
   [[nodiscard]] std::uint32_t Room() const;
   /// True if this agent's backend server runs the target under the current rules.
   [[nodiscard]] bool Serves(TargetId target) const;
+  [[nodiscard]] bool Quarantined(Digest digest) const;
+  /// True if the digest is a suspect and another suspect runs on this agent's backend server.
+  [[nodiscard]] bool MustRunLater(Digest digest) const;
   void Record(Decision decision);
 };
 
--- a/packages/policy/src/controller.h
+++ b/packages/policy/src/controller.h
@@ -36,8 +36,9 @@
 // Both roles.
 std::unique_ptr<Controller> MakeConfigurationController();
 std::unique_ptr<Controller> MakeMembershipController();
+std::unique_ptr<Controller> MakeQuarantineController();
 // Entry.
-std::unique_ptr<Controller> MakeRetryController();
+std::unique_ptr<Controller> MakeRetryController(const Init& init);
 std::unique_ptr<Controller> MakeRoutingController();
 // Agent.
 std::unique_ptr<Controller> MakeWarmUpController();
--- a/packages/policy/src/names.cc
+++ b/packages/policy/src/names.cc
@@ -104,6 +104,10 @@
       return "link lost";
     case DecisionKind::kConfigurationAccepted:
       return "configuration in force";
+    case DecisionKind::kDigestSuspected:
+      return "request may crash backend servers, runs alone among such";
+    case DecisionKind::kDigestQuarantined:
+      return "request crashes backend servers, quarantined";
   }
   return "decision";
 }
--- a/packages/policy/src/policy.cc
+++ b/packages/policy/src/policy.cc
@@ -2,6 +2,7 @@
 
 #include <absl/container/btree_map.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -13,11 +14,12 @@
 
 using ControllerList = std::vector<std::unique_ptr<Controller>>;
 
-ControllerList EntryControllers() {
+ControllerList EntryControllers(const Init& init) {
   ControllerList list;
   list.push_back(MakeConfigurationController());
   list.push_back(MakeMembershipController());
-  list.push_back(MakeRetryController());
+  list.push_back(MakeQuarantineController());
+  list.push_back(MakeRetryController(init));
   list.push_back(MakeRoutingController());
   return list;
 }
@@ -27,6 +29,7 @@
   list.push_back(MakeConfigurationController());
   list.push_back(MakeMembershipController());
   list.push_back(MakeWarmUpController());
+  list.push_back(MakeQuarantineController());
   list.push_back(MakeFairShareController());
   list.push_back(MakeAdmissionController());
   list.push_back(MakeReportController());
@@ -61,6 +64,8 @@
     stats.configuration_offset = board_.configuration->offset;
     stats.draining = board_.draining;
     stats.window = board_.backend.window;
+    stats.quarantined = static_cast<std::uint32_t>(std::ranges::count_if(
+        board_.suspects, [](const auto& item) { return item.second.quarantined(); }));
     FillCustomers(stats);
     for (const auto& [id, state] : board_.members) {
       stats.members.push_back(MemberStats{.member = state.member, .linked = state.linked});
@@ -110,7 +115,7 @@
 
 std::unique_ptr<Policy> MakePolicy(const Init& init) {
   return std::make_unique<BlackboardPolicy>(
-      init, init.role == Role::kEntry ? EntryControllers() : AgentControllers());
+      init, init.role == Role::kEntry ? EntryControllers(init) : AgentControllers());
 }
 
 }  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/policy/src/quarantine_controller.cc
@@ -0,0 +1,159 @@
+#include <algorithm>
+#include <utility>
+
+#include "controller.h"
+#include "lagoonwind/limits.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+/// Remembers the digests of requests that ran when a backend server crashed, tells the other role
+/// of them, and ends waiting requests that are quarantined.
+class QuarantineController final : public Controller {
+ public:
+  void OnEvent(const Event& event, Blackboard& board, ActionList& /*actions*/) override {
+    if (const auto* finished = std::get_if<AttemptFinished>(&event)) {
+      OnFinished(*finished, board);
+    } else if (const auto* ended = std::get_if<AttemptEnded>(&event)) {
+      OnEnded(*ended, board);
+    } else if (const auto* reported = std::get_if<SuspectsReported>(&event)) {
+      OnReported(*reported, board);
+    } else if (std::holds_alternative<LinkUp>(event)) {
+      tell_all_ = true;
+    }
+  }
+
+  void Update(Blackboard& board, ActionList& actions) override {
+    absl::erase_if(board.suspects,
+                   [&](const auto& item) { return item.second.expires <= board.now; });
+    Tell(board, actions);
+    EndQuarantined(board, actions);
+  }
+
+ private:
+  void OnFinished(const AttemptFinished& finished, Blackboard& board) {
+    const auto found = board.running.find(finished.attempt);
+    if (found == board.running.end()) {
+      return;
+    }
+    const RunningAttempt& attempt = found->second;
+    if (finished.reason == Reason::kBackendCrashed) {
+      Accuse(attempt.traits.digest, attempt.started, board);
+    } else if (finished.result == AttemptResult::kComplete) {
+      Acquit(attempt.traits.digest, attempt.started, board);
+    }
+  }
+
+  /// The entry learns of a crash from the attempt's end before it hears of the suspects.
+  void OnEnded(const AttemptEnded& ended, Blackboard& board) {
+    const auto found = board.requests.find(ended.attempt.request);
+    if (ended.reason != Reason::kBackendCrashed || found == board.requests.end() ||
+        found->second.attempt != ended.attempt.attempt || found->second.agent != ended.agent) {
+      return;
+    }
+    Accuse(found->second.traits.digest, found->second.started, board);
+  }
+
+  /// A run that started before the last change belongs to a crash that was already counted.
+  void Accuse(Digest digest, Time started, Blackboard& board) {
+    const auto found = board.suspects.find(digest);
+    if (found == board.suspects.end()) {
+      SetLevel(digest, 1, board.now + limits::kSuspectTime, board);
+    } else if (started > found->second.changed) {
+      const SuspectState& state = found->second;
+      const std::uint32_t level = state.suspected() ? kQuarantineLevel : state.level + 1;
+      SetLevel(digest, level, board.now + limits::kSuspectTime, board);
+    }
+  }
+
+  void Acquit(Digest digest, Time started, Blackboard& board) {
+    const auto found = board.suspects.find(digest);
+    if (found != board.suspects.end() && found->second.suspected() &&
+        started > found->second.changed) {
+      SetLevel(digest, found->second.level + 1, found->second.expires, board);
+    }
+  }
+
+  void OnReported(const SuspectsReported& reported, Blackboard& board) {
+    for (const auto& suspect : reported.suspects) {
+      const auto found = board.suspects.find(suspect.digest);
+      if (found == board.suspects.end() || found->second.level < suspect.level) {
+        const Duration most = limits::kSuspectTime;
+        SetLevel(suspect.digest, suspect.level, board.now + std::min(suspect.remaining, most),
+                 board);
+      }
+    }
+  }
+
+  void SetLevel(Digest digest, std::uint32_t level, Time expires, Blackboard& board) {
+    if (!digest.valid()) {
+      return;
+    }
+    MakeRoom(digest, board);
+    SuspectState& state = board.suspects[digest];
+    state = SuspectState{.level = level, .changed = board.now, .expires = expires};
+    changed_.push_back(digest);
+    board.Record({.kind = state.quarantined() ? DecisionKind::kDigestQuarantined
+                                              : DecisionKind::kDigestSuspected,
+                  .value = static_cast<double>(level)});
+  }
+
+  /// Forgets what would be forgotten next.
+  static void MakeRoom(Digest digest, Blackboard& board) {
+    if (board.suspects.size() < limits::kMaxSuspects || board.suspects.contains(digest)) {
+      return;
+    }
+    const auto rank = [](const auto& item) {
+      return std::pair(item.second.quarantined(), item.second.expires);
+    };
+    board.suspects.erase(std::ranges::min_element(board.suspects, {}, rank));
+  }
+
+  void Tell(const Blackboard& board, ActionList& actions) {
+    SendSuspects message;
+    for (const auto& [digest, state] : board.suspects) {
+      if (tell_all_ || std::ranges::count(changed_, digest) > 0) {
+        message.suspects.push_back(Suspect{
+            .digest = digest, .level = state.level, .remaining = state.expires - board.now});
+      }
+    }
+    tell_all_ = false;
+    changed_.clear();
+    if (!message.suspects.empty()) {
+      actions.Add(std::move(message));
+    }
+  }
+
+  /// A request that ran is answered as unknown; one that didn't, as quarantined.
+  static void EndQuarantined(Blackboard& board, ActionList& actions) {
+    absl::erase_if(board.requests, [&](const auto& item) {
+      const auto& [id, request] = item;
+      const bool waits =
+          request.phase == RequestPhase::kWaiting || request.phase == RequestPhase::kBackingOff;
+      if (!waits || board.suspects.empty() || !board.Quarantined(request.traits.digest)) {
+        return false;
+      }
+      const bool ran = request.started_attempts > 0;
+      const Reason reason = ran ? Reason::kBackendCrashed : Reason::kQuarantined;
+      actions.Add(FinishRequest{
+          .id = id, .outcome = ran ? Outcome::kUnknown : Outcome::kNotRun, .reason = reason});
+      board.Record({.kind = DecisionKind::kRequestFinished,
+                    .request = id,
+                    .customer = request.traits.customer,
+                    .reason = reason});
+      return true;
+    });
+  }
+
+  /// Digests whose level changed since the other role was told.
+  std::vector<Digest> changed_;
+  bool tell_all_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<Controller> MakeQuarantineController() {
+  return std::make_unique<QuarantineController>();
+}
+
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/policy/src/retry_budget.cc
@@ -0,0 +1,31 @@
+#include "retry_budget.h"
+
+#include <algorithm>
+
+namespace lagoonwind::policy {
+namespace {
+
+/// Doublings after which the bound stays.
+constexpr std::uint32_t kMaxDoublings = 16;
+
+}  // namespace
+
+void RetryBudget::RequestArrived() { saved_ = std::min(saved_ + share_, limits::kMaxSavedRetries); }
+
+bool RetryBudget::TakeRetry() {
+  if (saved_ < 1) {
+    return false;
+  }
+  saved_ -= 1;
+  return true;
+}
+
+Duration Backoff::Next(std::uint32_t tries) {
+  const std::uint32_t doublings = std::min(std::max(tries, 1U) - 1, kMaxDoublings);
+  const Duration bound =
+      std::min<Duration>(limits::kRetryBaseDelay * (1U << doublings), limits::kRetryMaxDelay);
+  const std::uint64_t draw = MixHash(seed_, ++drawn_);
+  return Duration(static_cast<std::int64_t>(draw % static_cast<std::uint64_t>(bound.count() + 1)));
+}
+
+}  // namespace lagoonwind::policy
--- a/packages/policy/src/retry_controller.cc
+++ b/packages/policy/src/retry_controller.cc
@@ -1,5 +1,8 @@
+#include <algorithm>
+
 #include "controller.h"
 #include "lagoonwind/limits.h"
+#include "retry_budget.h"
 
 namespace lagoonwind::policy {
 namespace {
@@ -7,6 +10,8 @@
 /// Follows each attempt to its end and decides whether the request is tried again.
 class RetryController final : public Controller {
  public:
+  explicit RetryController(const Init& init) : budget_(init.retry_share), backoff_(init.seed) {}
+
   void OnEvent(const Event& event, Blackboard& board, ActionList& actions) override {
     if (const auto* queued = std::get_if<AttemptQueued>(&event)) {
       OnQueued(*queued, board);
@@ -22,14 +27,54 @@
       OnCallerLeft(*left, board, actions);
     } else if (const auto* down = std::get_if<LinkDown>(&event)) {
       OnLinkDown(*down, board, actions);
+    } else if (std::holds_alternative<RequestArrived>(event)) {
+      budget_.RequestArrived();
+    }
+  }
+
+  void Update(Blackboard& board, ActionList& /*actions*/) override {
+    for (auto& [id, request] : board.requests) {
+      if (request.phase == RequestPhase::kBackingOff && request.retry_at <= board.now) {
+        request.phase = RequestPhase::kWaiting;
+      }
     }
   }
 
  private:
+  /// What to do after an attempt that didn't give a whole answer.
+  enum class Verdict {
+    /// Nothing ran and nothing failed: try again, whatever the cap and the budget say.
+    kFree,
+    /// Try again if the cap and the budget allow it.
+    kCounted,
+    /// The same attempt would end the same way.
+    kFinal,
+  };
+
+  static Verdict VerdictOf(AttemptResult result, Reason reason) {
+    if (result != AttemptResult::kNotRun) {
+      return Verdict::kCounted;
+    }
+    switch (reason) {
+      case Reason::kDraining:
+      case Reason::kZoneOut:
+      case Reason::kNoRoom:
+      case Reason::kNotServed:
+      case Reason::kGrantExpired:
+        return Verdict::kFree;
+      case Reason::kQuarantined:
+      case Reason::kCallerLeft:
+        return Verdict::kFinal;
+      default:
+        return Verdict::kCounted;
+    }
+  }
+
   static OwnedRequest* FindCurrent(Blackboard& board, MemberId agent, AttemptId attempt) {
     const auto found = board.requests.find(attempt.request);
     if (found == board.requests.end() || found->second.attempt != attempt.attempt ||
-        found->second.agent != agent || found->second.phase == RequestPhase::kWaiting) {
+        found->second.agent != agent || found->second.phase == RequestPhase::kWaiting ||
+        found->second.phase == RequestPhase::kBackingOff) {
       return nullptr;
     }
     return &found->second;
@@ -54,20 +99,21 @@
       return;
     }
     request->phase = RequestPhase::kRunning;
+    request->started = board.now;
     board.Record({.kind = DecisionKind::kRequestStarted,
                   .request = started.attempt.request,
                   .customer = request->traits.customer,
                   .member = started.agent});
   }
 
-  static void OnEnded(const AttemptEnded& ended, Blackboard& board, ActionList& actions) {
+  void OnEnded(const AttemptEnded& ended, Blackboard& board, ActionList& actions) {
     if (FindCurrent(board, ended.agent, ended.attempt) != nullptr) {
       EndAttempt(ended.attempt.request, ended.result, ended.reason, board, actions);
     }
   }
 
-  static void EndAttempt(RequestId id, AttemptResult result, Reason reason, Blackboard& board,
-                         ActionList& actions) {
+  void EndAttempt(RequestId id, AttemptResult result, Reason reason, Blackboard& board,
+                  ActionList& actions) {
     OwnedRequest& request = board.requests[id];
     if (result == AttemptResult::kComplete) {
       Finish(id, Outcome::kComplete, Reason::kNone, board, actions);
@@ -76,8 +122,9 @@
     if (result == AttemptResult::kUnknown) {
       ++request.started_attempts;
     }
-    if (MayRetry(request, result)) {
-      request.phase = RequestPhase::kWaiting;
+    if (MayRetry(request, result, reason, board)) {
+      request.phase = RequestPhase::kBackingOff;
+      request.retry_at = board.now + backoff_.Next(request.tries);
       request.agent = MemberId{};
       board.Record({.kind = DecisionKind::kRequestRetried,
                     .request = id,
@@ -91,11 +138,28 @@
 
   /// An attempt that provably never ran may always be tried again; one that may have run only if
   /// the call is repeatable and the caller has seen nothing of an answer.
-  static bool MayRetry(const OwnedRequest& request, AttemptResult result) {
-    if (request.attempt >= limits::kMaxAttempts || request.answer_began) {
+  bool MayRetry(OwnedRequest& request, AttemptResult result, Reason reason, Blackboard& board) {
+    const Verdict verdict = VerdictOf(result, reason);
+    const bool repeatable = result == AttemptResult::kNotRun || request.traits.repeatable;
+    if (verdict == Verdict::kFinal || request.answer_began || !repeatable) {
+      return false;
+    }
+    if (verdict == Verdict::kFree) {
+      return true;
+    }
+    if (++request.tries >= limits::kMaxAttempts) {
       return false;
     }
-    return result == AttemptResult::kNotRun || request.traits.repeatable;
+    const bool allowed = !OthersWait(board) || budget_.TakeRetry();
+    ++(allowed ? board.counters.retries : board.counters.retries_denied);
+    return allowed;
+  }
+
+  /// While nothing waits, a retry takes capacity from nobody and needs no budget.
+  static bool OthersWait(const Blackboard& board) {
+    return std::ranges::any_of(board.requests, [](const auto& item) {
+      return item.second.phase == RequestPhase::kWaiting;
+    });
   }
 
   static void Finish(RequestId id, Outcome outcome, Reason reason, Blackboard& board,
@@ -115,7 +179,7 @@
       return;
     }
     const OwnedRequest& request = found->second;
-    if (request.phase != RequestPhase::kWaiting) {
+    if (request.agent.valid()) {
       const AttemptId attempt{.request = left.id, .attempt = request.attempt};
       actions.Add(SendCancel{.agent = request.agent, .attempt = attempt});
     }
@@ -126,10 +190,10 @@
     board.requests.erase(found);
   }
 
-  static void OnLinkDown(const LinkDown& down, Blackboard& board, ActionList& actions) {
+  void OnLinkDown(const LinkDown& down, Blackboard& board, ActionList& actions) {
     std::vector<RequestId> lost;
     for (const auto& [id, request] : board.requests) {
-      if (request.phase != RequestPhase::kWaiting && request.agent == down.member) {
+      if (request.agent == down.member) {
         lost.push_back(id);
       }
     }
@@ -137,10 +201,15 @@
       EndAttempt(id, AttemptResult::kUnknown, Reason::kLinkLost, board, actions);
     }
   }
+
+  RetryBudget budget_;
+  Backoff backoff_;
 };
 
 }  // namespace
 
-std::unique_ptr<Controller> MakeRetryController() { return std::make_unique<RetryController>(); }
+std::unique_ptr<Controller> MakeRetryController(const Init& init) {
+  return std::make_unique<RetryController>(init);
+}
 
 }  // namespace lagoonwind::policy
--- a/packages/policy/src/warm_up_controller.cc
+++ b/packages/policy/src/warm_up_controller.cc
@@ -118,10 +118,15 @@
         window_.Refused(board.now);
         break;
       case Reason::kBackendCrashed:
-      case Reason::kBackendFailed:
       case Reason::kTimeout:
         Restart(board, Running(board));
         break;
+      case Reason::kBackendFailed:
+        // A run that the same instance broke off says nothing of load; a refused connection does.
+        if (finished.result == AttemptResult::kNotRun) {
+          Restart(board, 0);
+        }
+        break;
       default:
         break;
     }
--- a/packages/runtime/src/agent_daemon.cc
+++ b/packages/runtime/src/agent_daemon.cc
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
@@ -79,6 +80,8 @@
     } else if (message.__isset.demand) {
       context_.policy.Post(
           policy::DemandReported{.entry = from, .demand = wire::FromWire(message.demand)});
+    } else if (message.__isset.suspects) {
+      context_.policy.Post(policy::SuspectsReported{.suspects = wire::FromWire(message.suspects)});
     } else if (message.__isset.decline) {
       context_.policy.Post(policy::GrantDeclined{
           .entry = from, .grant = {static_cast<std::uint64_t>(message.decline.id)}});
@@ -116,7 +119,7 @@
     asio::co_spawn(
         asio::make_strand(context_.io),
         [this, run]() -> asio::awaitable<void> {
-          co_await run->Run(*backend_);
+          co_await run->Run(*backend_, instance_);
           Forget(run->id());
         },
         asio::detached);
@@ -159,6 +162,7 @@
       policy::BackendObserved event{.reachable = health.ok()};
       if (health.ok()) {
         event.instance = health->instance;
+        instance_ = health->instance;
         event.running = health->running;
         std::ranges::transform(health->targets, std::back_inserter(event.targets),
                                [](const std::string& name) { return HandleOf<TargetId>(name); });
@@ -172,6 +176,9 @@
   DaemonContext context_;
   std::unique_ptr<backend::Backend> backend_;
 
+  /// Instance of the backend server as last observed; 0 before the first observation.
+  std::atomic<std::uint64_t> instance_{0};
+
   mutable std::mutex mutex_;
   absl::flat_hash_map<AttemptId, std::shared_ptr<AttemptRun>> runs_;
 };
--- a/packages/runtime/src/attempt_run.cc
+++ b/packages/runtime/src/attempt_run.cc
@@ -53,6 +53,12 @@
   return policy::Reason::kNone;
 }
 
+/// True if a backend server that broke a run off is gone or another instance.
+http::asio::awaitable<bool> HasCrashed(backend::Backend& backend, std::uint64_t instance) {
+  const auto health = co_await backend.Observe();
+  co_return !health.ok() || (instance != 0 && health->instance != instance);
+}
+
 }  // namespace
 
 AttemptRun::AttemptRun(const DaemonContext& context, MemberId entry, wire::gen::Offer offer)
@@ -61,7 +67,7 @@
       offer_(std::move(offer)),
       id_(wire::FromWire(offer_.attempt)) {}
 
-http::asio::awaitable<void> AttemptRun::Run(backend::Backend& backend) {
+http::asio::awaitable<void> AttemptRun::Run(backend::Backend& backend, std::uint64_t instance) {
   started_ = std::chrono::steady_clock::now();
   wire::Message message;
   message.__set_started({});
@@ -84,7 +90,11 @@
     Charge(kSecondService * std::chrono::duration<double>(took).count(), whole ? 1 : 0,
            Micros(took));
   }
-  End(result);
+  policy::Reason reason = ReasonOf(result);
+  if (result == CallResult::kUnknown && co_await HasCrashed(backend, instance)) {
+    reason = policy::Reason::kBackendCrashed;
+  }
+  End(result, reason);
 }
 
 void AttemptRun::OnHead(const backend::AnswerHead& head) {
@@ -135,18 +145,18 @@
   context_.metrics.ServiceCharged(offer_.customer_name, service);
 }
 
-void AttemptRun::End(CallResult result) {
+void AttemptRun::End(CallResult result, policy::Reason reason) {
   wire::Message message;
   message.__set_ended({});
   message.ended.attempt = offer_.attempt;
   message.ended.result = static_cast<std::int32_t>(ResultOf(result));
-  message.ended.reason = static_cast<std::int32_t>(ReasonOf(result));
+  message.ended.reason = static_cast<std::int32_t>(reason);
   message.ended.length = static_cast<std::int64_t>(sent_);
   context_.links.Send(entry_, message);
-  context_.policy.Post(policy::AttemptFinished{
-      .attempt = id_, .result = ResultOf(result), .reason = ReasonOf(result)});
+  context_.policy.Post(
+      policy::AttemptFinished{.attempt = id_, .result = ResultOf(result), .reason = reason});
   LOG(INFO) << "event=attempt_finished request=" << FormatRequestId(id_.request)
-            << " customer=" << offer_.customer_name << " reason=" << policy::Name(ReasonOf(result));
+            << " customer=" << offer_.customer_name << " reason=" << policy::Name(reason);
 }
 
 }  // namespace lagoonwind::runtime
--- a/packages/runtime/src/attempt_run.h
+++ b/packages/runtime/src/attempt_run.h
@@ -23,7 +23,8 @@
   /// Breaks the run off at its next part. Thread safe.
   void Cancel() { cancelled_ = true; }
   /// Runs the attempt to its end and tells the entry and the decisions. Call once.
-  http::asio::awaitable<void> Run(backend::Backend& backend);
+  /// \param instance  Instance of the backend server that the attempt starts on; 0 if unknown.
+  http::asio::awaitable<void> Run(backend::Backend& backend, std::uint64_t instance);
 
   void OnHead(const backend::AnswerHead& head) override;
   void OnData(std::string_view data, std::uint32_t tokens) override;
@@ -32,7 +33,7 @@
  private:
   void Charge(double service, std::uint32_t tokens, Duration took);
   void ChargeTokens(std::uint32_t tokens);
-  void End(backend::CallResult result);
+  void End(backend::CallResult result, policy::Reason reason);
 
   DaemonContext context_;
   MemberId entry_;
--- a/packages/runtime/src/daemon.cc
+++ b/packages/runtime/src/daemon.cc
@@ -140,6 +140,12 @@
       links_.Open(open->member);
     } else if (const auto* close = std::get_if<policy::CloseLink>(&action)) {
       links_.Close(close->member);
+    } else if (const auto* suspects = std::get_if<policy::SendSuspects>(&action)) {
+      wire::Message message;
+      message.__set_suspects(wire::ToWire(suspects->suspects));
+      links_.Broadcast(
+          settings_.role == policy::Role::kEntry ? policy::Role::kAgent : policy::Role::kEntry,
+          message);
     } else {
       role_->Execute(action);
     }
--- a/packages/runtime/src/entry_daemon.cc
+++ b/packages/runtime/src/entry_daemon.cc
@@ -71,6 +71,8 @@
       OnEnd(from, message.ended);
     } else if (message.__isset.grant) {
       OnGrant(from, message.grant);
+    } else if (message.__isset.suspects) {
+      context_.policy.Post(policy::SuspectsReported{.suspects = wire::FromWire(message.suspects)});
     } else if (message.__isset.agent_report) {
       context_.policy.Post(
           policy::AgentReported{.agent = from, .report = wire::FromWire(message.agent_report)});
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -2603,6 +2603,272 @@
 }
 
 
+SuspectItem::~SuspectItem() noexcept {
+}
+
+
+void SuspectItem::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void SuspectItem::__set_level(const int32_t val) {
+  this->level = val;
+}
+
+void SuspectItem::__set_remaining_us(const int64_t val) {
+  this->remaining_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectItem& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remaining_us);
+          this->__isset.remaining_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuspectItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectItem");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->level);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->remaining_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectItem &a, SuspectItem &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.level, b.level);
+  swap(a.remaining_us, b.remaining_us);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectItem::SuspectItem(const SuspectItem& other80) noexcept {
+  digest = other80.digest;
+  level = other80.level;
+  remaining_us = other80.remaining_us;
+  __isset = other80.__isset;
+}
+SuspectItem::SuspectItem(SuspectItem&& other81) noexcept {
+  digest = other81.digest;
+  level = other81.level;
+  remaining_us = other81.remaining_us;
+  __isset = other81.__isset;
+}
+SuspectItem& SuspectItem::operator=(const SuspectItem& other82) noexcept {
+  digest = other82.digest;
+  level = other82.level;
+  remaining_us = other82.remaining_us;
+  __isset = other82.__isset;
+  return *this;
+}
+SuspectItem& SuspectItem::operator=(SuspectItem&& other83) noexcept {
+  digest = other83.digest;
+  level = other83.level;
+  remaining_us = other83.remaining_us;
+  __isset = other83.__isset;
+  return *this;
+}
+void SuspectItem::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectItem(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "level=" << to_string(level);
+  out << ", " << "remaining_us=" << to_string(remaining_us);
+  out << ")";
+}
+
+
+Suspects::~Suspects() noexcept {
+}
+
+
+void Suspects::__set_items(const std::vector<SuspectItem> & val) {
+  this->items = val;
+}
+std::ostream& operator<<(std::ostream& out, const Suspects& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Suspects::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->items.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->items[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Suspects::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Suspects");
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<SuspectItem> ::const_iterator _iter89;
+    for (_iter89 = this->items.begin(); _iter89 != this->items.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Suspects &a, Suspects &b) {
+  using ::std::swap;
+  swap(a.items, b.items);
+  swap(a.__isset, b.__isset);
+}
+
+Suspects::Suspects(const Suspects& other90) {
+  items = other90.items;
+  __isset = other90.__isset;
+}
+Suspects::Suspects(Suspects&& other91) noexcept {
+  items = std::move(other91.items);
+  __isset = other91.__isset;
+}
+Suspects& Suspects::operator=(const Suspects& other92) {
+  items = other92.items;
+  __isset = other92.__isset;
+  return *this;
+}
+Suspects& Suspects::operator=(Suspects&& other93) noexcept {
+  items = std::move(other93.items);
+  __isset = other93.__isset;
+  return *this;
+}
+void Suspects::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Suspects(";
+  out << "items=" << to_string(items);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -2681,6 +2947,11 @@
   this->agent_report = val;
 __isset.agent_report = true;
 }
+
+void Message::__set_suspects(const Suspects& val) {
+  this->suspects = val;
+__isset.suspects = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -2829,6 +3100,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->suspects.read(iprot);
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2921,6 +3200,11 @@
     xfer += this->agent_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_STRUCT, 30);
+    xfer += this->suspects.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2943,81 +3227,86 @@
   swap(a.grant, b.grant);
   swap(a.decline, b.decline);
   swap(a.agent_report, b.agent_report);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other80) {
-  hello = other80.hello;
-  proof = other80.proof;
-  ping = other80.ping;
-  leaving = other80.leaving;
-  offer = other80.offer;
-  queued = other80.queued;
-  started = other80.started;
-  head = other80.head;
-  chunk = other80.chunk;
-  ended = other80.ended;
-  cancel = other80.cancel;
-  demand = other80.demand;
-  grant = other80.grant;
-  decline = other80.decline;
-  agent_report = other80.agent_report;
-  __isset = other80.__isset;
-}
-Message::Message(Message&& other81) noexcept {
-  hello = std::move(other81.hello);
-  proof = std::move(other81.proof);
-  ping = std::move(other81.ping);
-  leaving = std::move(other81.leaving);
-  offer = std::move(other81.offer);
-  queued = std::move(other81.queued);
-  started = std::move(other81.started);
-  head = std::move(other81.head);
-  chunk = std::move(other81.chunk);
-  ended = std::move(other81.ended);
-  cancel = std::move(other81.cancel);
-  demand = std::move(other81.demand);
-  grant = std::move(other81.grant);
-  decline = std::move(other81.decline);
-  agent_report = std::move(other81.agent_report);
-  __isset = other81.__isset;
-}
-Message& Message::operator=(const Message& other82) {
-  hello = other82.hello;
-  proof = other82.proof;
-  ping = other82.ping;
-  leaving = other82.leaving;
-  offer = other82.offer;
-  queued = other82.queued;
-  started = other82.started;
-  head = other82.head;
-  chunk = other82.chunk;
-  ended = other82.ended;
-  cancel = other82.cancel;
-  demand = other82.demand;
-  grant = other82.grant;
-  decline = other82.decline;
-  agent_report = other82.agent_report;
-  __isset = other82.__isset;
+Message::Message(const Message& other94) {
+  hello = other94.hello;
+  proof = other94.proof;
+  ping = other94.ping;
+  leaving = other94.leaving;
+  offer = other94.offer;
+  queued = other94.queued;
+  started = other94.started;
+  head = other94.head;
+  chunk = other94.chunk;
+  ended = other94.ended;
+  cancel = other94.cancel;
+  demand = other94.demand;
+  grant = other94.grant;
+  decline = other94.decline;
+  agent_report = other94.agent_report;
+  suspects = other94.suspects;
+  __isset = other94.__isset;
+}
+Message::Message(Message&& other95) noexcept {
+  hello = std::move(other95.hello);
+  proof = std::move(other95.proof);
+  ping = std::move(other95.ping);
+  leaving = std::move(other95.leaving);
+  offer = std::move(other95.offer);
+  queued = std::move(other95.queued);
+  started = std::move(other95.started);
+  head = std::move(other95.head);
+  chunk = std::move(other95.chunk);
+  ended = std::move(other95.ended);
+  cancel = std::move(other95.cancel);
+  demand = std::move(other95.demand);
+  grant = std::move(other95.grant);
+  decline = std::move(other95.decline);
+  agent_report = std::move(other95.agent_report);
+  suspects = std::move(other95.suspects);
+  __isset = other95.__isset;
+}
+Message& Message::operator=(const Message& other96) {
+  hello = other96.hello;
+  proof = other96.proof;
+  ping = other96.ping;
+  leaving = other96.leaving;
+  offer = other96.offer;
+  queued = other96.queued;
+  started = other96.started;
+  head = other96.head;
+  chunk = other96.chunk;
+  ended = other96.ended;
+  cancel = other96.cancel;
+  demand = other96.demand;
+  grant = other96.grant;
+  decline = other96.decline;
+  agent_report = other96.agent_report;
+  suspects = other96.suspects;
+  __isset = other96.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other83) noexcept {
-  hello = std::move(other83.hello);
-  proof = std::move(other83.proof);
-  ping = std::move(other83.ping);
-  leaving = std::move(other83.leaving);
-  offer = std::move(other83.offer);
-  queued = std::move(other83.queued);
-  started = std::move(other83.started);
-  head = std::move(other83.head);
-  chunk = std::move(other83.chunk);
-  ended = std::move(other83.ended);
-  cancel = std::move(other83.cancel);
-  demand = std::move(other83.demand);
-  grant = std::move(other83.grant);
-  decline = std::move(other83.decline);
-  agent_report = std::move(other83.agent_report);
-  __isset = other83.__isset;
+Message& Message::operator=(Message&& other97) noexcept {
+  hello = std::move(other97.hello);
+  proof = std::move(other97.proof);
+  ping = std::move(other97.ping);
+  leaving = std::move(other97.leaving);
+  offer = std::move(other97.offer);
+  queued = std::move(other97.queued);
+  started = std::move(other97.started);
+  head = std::move(other97.head);
+  chunk = std::move(other97.chunk);
+  ended = std::move(other97.ended);
+  cancel = std::move(other97.cancel);
+  demand = std::move(other97.demand);
+  grant = std::move(other97.grant);
+  decline = std::move(other97.decline);
+  agent_report = std::move(other97.agent_report);
+  suspects = std::move(other97.suspects);
+  __isset = other97.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3038,6 +3327,7 @@
   out << ", " << "grant="; (__isset.grant ? (out << to_string(grant)) : (out << "<null>"));
   out << ", " << "decline="; (__isset.decline ? (out << to_string(decline)) : (out << "<null>"));
   out << ", " << "agent_report="; (__isset.agent_report ? (out << to_string(agent_report)) : (out << "<null>"));
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -55,6 +55,10 @@
 
 class AgentReport;
 
+class SuspectItem;
+
+class Suspects;
+
 class Message;
 
 typedef struct _Attempt__isset {
@@ -1074,8 +1078,111 @@
 
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj);
 
+typedef struct _SuspectItem__isset {
+  _SuspectItem__isset() : digest(false), level(false), remaining_us(false) {}
+  bool digest :1;
+  bool level :1;
+  bool remaining_us :1;
+} _SuspectItem__isset;
+
+class SuspectItem : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectItem(const SuspectItem&) noexcept;
+  SuspectItem(SuspectItem&&) noexcept;
+  SuspectItem& operator=(const SuspectItem&) noexcept;
+  SuspectItem& operator=(SuspectItem&&) noexcept;
+  SuspectItem() noexcept
+              : digest(0),
+                level(0),
+                remaining_us(0) {
+  }
+
+  virtual ~SuspectItem() noexcept;
+  int64_t digest;
+  int32_t level;
+  int64_t remaining_us;
+
+  _SuspectItem__isset __isset;
+
+  void __set_digest(const int64_t val);
+
+  void __set_level(const int32_t val);
+
+  void __set_remaining_us(const int64_t val);
+
+  bool operator == (const SuspectItem & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(level == rhs.level))
+      return false;
+    if (!(remaining_us == rhs.remaining_us))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectItem &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectItem & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectItem &a, SuspectItem &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectItem& obj);
+
+typedef struct _Suspects__isset {
+  _Suspects__isset() : items(false) {}
+  bool items :1;
+} _Suspects__isset;
+
+class Suspects : public virtual ::apache::thrift::TBase {
+ public:
+
+  Suspects(const Suspects&);
+  Suspects(Suspects&&) noexcept;
+  Suspects& operator=(const Suspects&);
+  Suspects& operator=(Suspects&&) noexcept;
+  Suspects() noexcept {
+  }
+
+  virtual ~Suspects() noexcept;
+  std::vector<SuspectItem>  items;
+
+  _Suspects__isset __isset;
+
+  void __set_items(const std::vector<SuspectItem> & val);
+
+  bool operator == (const Suspects & rhs) const
+  {
+    if (!(items == rhs.items))
+      return false;
+    return true;
+  }
+  bool operator != (const Suspects &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Suspects & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Suspects &a, Suspects &b);
+
+std::ostream& operator<<(std::ostream& out, const Suspects& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false) {}
+  _Message__isset() : hello(false), proof(false), ping(false), leaving(false), offer(false), queued(false), started(false), head(false), chunk(false), ended(false), cancel(false), demand(false), grant(false), decline(false), agent_report(false), suspects(false) {}
   bool hello :1;
   bool proof :1;
   bool ping :1;
@@ -1091,6 +1198,7 @@
   bool grant :1;
   bool decline :1;
   bool agent_report :1;
+  bool suspects :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1119,6 +1227,7 @@
   Grant grant;
   Decline decline;
   AgentReport agent_report;
+  Suspects suspects;
 
   _Message__isset __isset;
 
@@ -1152,6 +1261,8 @@
 
   void __set_agent_report(const AgentReport& val);
 
+  void __set_suspects(const Suspects& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1214,6 +1325,10 @@
       return false;
     else if (__isset.agent_report && !(agent_report == rhs.agent_report))
       return false;
+    if (__isset.suspects != rhs.__isset.suspects)
+      return false;
+    else if (__isset.suspects && !(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -118,6 +118,17 @@
   5: i64 configuration_offset
 }
 
+struct SuspectItem {
+  1: i64 digest
+  2: i32 level
+  3: i64 remaining_us
+}
+
+// Digests of requests that ran when a backend server crashed.
+struct Suspects {
+  1: list<SuspectItem> items
+}
+
 // One frame on a link. Numbers of fields are never used again.
 union Message {
   1: Hello hello
@@ -135,4 +146,5 @@
   13: Grant grant
   14: Decline decline
   15: AgentReport agent_report
+  30: Suspects suspects
 }
--- a/packages/wire/include/lagoonwind/wire.h
+++ b/packages/wire/include/lagoonwind/wire.h
@@ -42,6 +42,8 @@
 std::vector<policy::Demand> FromWire(const gen::Demand& demand);
 gen::AgentReport ToWire(const policy::AgentReport& report);
 policy::AgentReport FromWire(const gen::AgentReport& report);
+gen::Suspects ToWire(std::span<const policy::Suspect> suspects);
+std::vector<policy::Suspect> FromWire(const gen::Suspects& suspects);
 /// Values outside the enumeration give kUnknown and kNone.
 policy::AttemptResult ResultFromWire(std::int32_t value);
 policy::Reason ReasonFromWire(std::int32_t value);
--- a/packages/wire/src/wire.cc
+++ b/packages/wire/src/wire.cc
@@ -127,6 +127,28 @@
   return out;
 }
 
+gen::Suspects ToWire(std::span<const policy::Suspect> suspects) {
+  gen::Suspects out;
+  std::ranges::transform(suspects, std::back_inserter(out.items), [](const policy::Suspect& from) {
+    gen::SuspectItem item;
+    item.digest = Signed(from.digest.value);
+    item.level = static_cast<std::int32_t>(from.level);
+    item.remaining_us = from.remaining.count();
+    return item;
+  });
+  return out;
+}
+
+std::vector<policy::Suspect> FromWire(const gen::Suspects& suspects) {
+  std::vector<policy::Suspect> out;
+  std::ranges::transform(suspects.items, std::back_inserter(out), [](const gen::SuspectItem& item) {
+    return policy::Suspect{.digest = {Unsigned(item.digest)},
+                           .level = Count(item.level),
+                           .remaining = Duration(std::max<std::int64_t>(item.remaining_us, 0))};
+  });
+  return out;
+}
+
 policy::AttemptResult ResultFromWire(std::int32_t value) {
   using policy::AttemptResult;
   const auto result = static_cast<AttemptResult>(value);
--- /dev/null
+++ b/tests/proofs/crash_loop_test.cc
@@ -0,0 +1,60 @@
+#include <doctest/doctest.h>
+
+#include "fleet_bench.h"
+
+namespace lagoonwind::bench {
+namespace {
+
+constexpr std::uint64_t kSeeds = 100;
+/// Crashes that each copy sent at the same moment may cause: one before it is known, and one as a
+/// suspect. Copies sent later cause none.
+constexpr std::uint64_t kMaxCrashes = 2;
+
+FleetOptions Resent(std::uint64_t seed, int copies) {
+  return FleetOptions{.seed = seed,
+                      .length = std::chrono::seconds(20),
+                      .link_delay = std::chrono::milliseconds(1 + seed % 20),
+                      .crashing_sends = 10,
+                      .crashing_copies = copies};
+}
+
+TEST_CASE("a crashing request that its caller resends over all entries crashes two runs") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    const FleetResult result = RunFleetBench(Resent(seed, 1));
+    CHECK(result.crashes <= kMaxCrashes);
+    CHECK(result.crashing_quarantined >= 8);
+    CHECK(result.false_not_run == 0);
+  }
+}
+
+TEST_CASE("copies sent at once crash two runs each, however often they are resent") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    const FleetResult result = RunFleetBench(Resent(seed, 3));
+    CHECK(result.crashes <= kMaxCrashes * 3);
+    CHECK(result.false_not_run == 0);
+  }
+}
+
+TEST_CASE("requests that ran beside the crashing one are tried again and answered") {
+  std::uint64_t unknown = 0;
+  std::uint64_t sent = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const FleetResult result = RunFleetBench(Resent(seed, 1));
+    unknown += result.unknown - result.crashing_unknown;
+    sent += result.sent;
+    CHECK(result.not_run == result.crashing_quarantined);
+  }
+  CHECK(sent > 100 * kSeeds);
+  CHECK(unknown == 0);
+}
+
+TEST_CASE("without quarantine the same request goes on crashing") {
+  FleetOptions options = Resent(1, 1);
+  options.quarantine = false;
+  CHECK(RunFleetBench(options).crashes > 5 * kMaxCrashes);
+}
+
+}  // namespace
+}  // namespace lagoonwind::bench
--- /dev/null
+++ b/tests/proofs/retry_test.cc
@@ -0,0 +1,151 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "fleet_bench.h"
+#include "lagoonwind/policy.h"
+#include "retry_budget.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+const MemberId kAgent = HandleOf<MemberId>("agent");
+const TargetId kCrest = HandleOf<TargetId>("crest");
+constexpr RequestId kRequest{.entry = {1}, .number = 1};
+
+/// An entry with one request and an agent that always has room.
+class Entry {
+ public:
+  Entry() {
+    const Member agent{.id = kAgent, .name = "agent", .role = Role::kAgent};
+    Step({LinkUp{.member = agent},
+          AgentReported{.agent = kAgent, .report = {.targets = {kCrest}, .free = 1}},
+          RequestArrived{.id = kRequest, .traits = {.target = kCrest}}});
+  }
+
+  /// Ends the current attempt and waits until the request is offered again or over.
+  void End(AttemptResult result, Reason reason) {
+    REQUIRE(attempt_.attempt > 0);
+    const AttemptId ended = std::exchange(attempt_, AttemptId{});
+    Step({AttemptEnded{.agent = kAgent, .attempt = ended, .result = result, .reason = reason}});
+    for (int i = 0; i < kMaxSteps && attempt_.attempt == 0 && !finish_; ++i) {
+      Step({AgentReported{.agent = kAgent, .report = {.targets = {kCrest}, .free = 1}}});
+    }
+  }
+
+  [[nodiscard]] const std::optional<FinishRequest>& finish() const { return finish_; }
+
+ private:
+  static constexpr int kMaxSteps = 1000;
+
+  void Step(const std::vector<Event>& events) {
+    now_ += std::chrono::milliseconds(10);
+    for (const auto& action : policy_->Step(now_, events)) {
+      if (const auto* offer = std::get_if<SendOffer>(&action)) {
+        attempt_ = offer->attempt;
+      } else if (const auto* finish = std::get_if<FinishRequest>(&action)) {
+        finish_ = *finish;
+      }
+    }
+  }
+
+  Time now_;
+  std::unique_ptr<Policy> policy_ = MakePolicy({.role = Role::kEntry, .name = "entry"});
+  AttemptId attempt_;
+  std::optional<FinishRequest> finish_;
+};
+
+TEST_CASE("attempts that may have run are tried three times in all") {
+  Entry entry;
+  for (std::uint32_t i = 1; i < limits::kMaxAttempts; ++i) {
+    entry.End(AttemptResult::kUnknown, Reason::kBackendFailed);
+    REQUIRE(!entry.finish());
+  }
+  entry.End(AttemptResult::kUnknown, Reason::kBackendFailed);
+  REQUIRE(entry.finish());
+  CHECK(entry.finish()->outcome == Outcome::kUnknown);
+}
+
+TEST_CASE("attempts refused for drain, zone or room don't use up the cap") {
+  for (const Reason reason : {Reason::kDraining, Reason::kZoneOut, Reason::kNoRoom}) {
+    Entry entry;
+    for (int i = 0; i < 20; ++i) {
+      entry.End(AttemptResult::kNotRun, reason);
+      REQUIRE(!entry.finish());
+    }
+    entry.End(AttemptResult::kComplete, Reason::kNone);
+    CHECK(entry.finish()->outcome == Outcome::kComplete);
+  }
+}
+
+TEST_CASE("a quarantined request is answered at once as not run") {
+  Entry entry;
+  entry.End(AttemptResult::kNotRun, Reason::kQuarantined);
+  REQUIRE(entry.finish());
+  CHECK(entry.finish()->outcome == Outcome::kNotRun);
+  CHECK(entry.finish()->reason == Reason::kQuarantined);
+}
+
+TEST_CASE("the budget allows what was saved and a share of what arrives") {
+  RetryBudget budget(0.5);
+  int allowed = 0;
+  while (budget.TakeRetry()) {
+    ++allowed;
+  }
+  CHECK(allowed == static_cast<int>(limits::kMaxSavedRetries));
+  budget.RequestArrived();
+  CHECK(!budget.TakeRetry());
+  budget.RequestArrived();
+  CHECK(budget.TakeRetry());
+  CHECK(!budget.TakeRetry());
+}
+
+TEST_CASE("delays are spread from zero to a bound that doubles up to its limit") {
+  for (const std::uint32_t tries : {1U, 2U, 5U, 100U}) {
+    Backoff backoff(7);
+    Backoff same(7);
+    const Duration doubled = limits::kRetryBaseDelay * (1U << std::min(tries - 1, 10U));
+    const Duration bound = std::min<Duration>(doubled, limits::kRetryMaxDelay);
+    std::vector<Duration> delays(1000);
+    std::ranges::generate(delays, [&] { return backoff.Next(tries); });
+    CHECK(std::ranges::all_of(delays, [&](Duration delay) { return delay == same.Next(tries); }));
+    CHECK(*std::ranges::max_element(delays) <= bound);
+    CHECK(*std::ranges::max_element(delays) > bound * 9 / 10);
+    CHECK(*std::ranges::min_element(delays) < bound / 10);
+  }
+}
+
+/// A brown-out in which six of ten runs fail; the fleet bears 160 requests a second.
+bench::FleetResult Brownout(double requests_per_second, double share) {
+  return bench::RunFleetBench({.requests_per_second = requests_per_second,
+                               .patience = std::chrono::seconds(5),
+                               .failing = 0.6,
+                               .brownout_start = std::chrono::seconds(20),
+                               .brownout_end = std::chrono::seconds(40),
+                               .retry_share = share});
+}
+
+constexpr double kNoBudget = 1000;
+
+TEST_CASE("in a brown-out with capacity to spare the budget denies nothing") {
+  const bench::FleetResult result = Brownout(40, limits::kRetryShare);
+  CHECK(result.retries_denied == 0);
+  CHECK(result.complete == Brownout(40, kNoBudget).complete);
+  CHECK(result.false_not_run == 0);
+}
+
+TEST_CASE("in a brown-out near the capacity the budget shortens the wait at equal yield") {
+  const bench::FleetResult bounded = Brownout(130, limits::kRetryShare);
+  const bench::FleetResult unbounded = Brownout(130, kNoBudget);
+  CHECK(bounded.retries_denied > 0);
+  CHECK(bounded.mean_seconds < unbounded.mean_seconds * 3 / 4);
+  CHECK(bounded.left < unbounded.left / 2);
+  CHECK(bounded.complete * 100 > unbounded.complete * 97);
+}
+
+}  // namespace
+}  // namespace lagoonwind::policy
