--- a/apps/lagoonwindd/main.cc
+++ b/apps/lagoonwindd/main.cc
@@ -3,7 +3,9 @@
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "lagoonwind/gateway.h"
 #include "lagoonwind/runtime.h"
+#include "lagoonwind/users_platform.h"
 
 namespace {
 
@@ -23,6 +25,24 @@
   return lagoonwind::runtime::RunDaemon(*settings);
 }
 
+/// Runs a gateway with the settings that the users' platform provides.
+int RunOnPlatform(bool check_only) {
+  const auto settings = lagoonwind::users_platform::LoadSettings();
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return kExitRefused;
+  }
+  if (check_only) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  const auto headers = lagoonwind::users_platform::MakeHeaderCodec();
+  const auto records = lagoonwind::users_platform::MakeRecordCodec();
+  const auto store = lagoonwind::users_platform::MakeRecordStore(settings->store_address);
+  return lagoonwind::gateway::RunGateway(
+      *settings, {.headers = *headers, .records = *records, .store = *store});
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -30,6 +50,7 @@
   FLAGS_logtostderr = true;
   cxxopts::Options options("lagoonwindd", "A daemon of the lagoonwind router fleet.");
   options.add_options()("settings", "TOML settings file", cxxopts::value<std::string>())(
+      "platform", "run a gateway with the settings of the users' platform", cxxopts::value<bool>())(
       "check", "check the settings and exit", cxxopts::value<bool>())("help", "print this help");
   try {
     const auto parsed = options.parse(argc, argv);
@@ -37,6 +58,9 @@
       std::cout << options.help();
       return 0;
     }
+    if (parsed["platform"].as<bool>()) {
+      return RunOnPlatform(parsed["check"].as<bool>());
+    }
     if (parsed.count("settings") == 0) {
       std::cerr << "--settings FILE is missing\n" << options.help();
       return kExitUsage;
--- /dev/null
+++ b/packages/gateway/src/backend_call.cc
@@ -0,0 +1,126 @@
+#include "backend_call.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace lagoonwind::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+/// Answers to other requests that are dropped before a connection is given up.
+constexpr int kMaxForeignAnswers = 2;
+/// Largest head of an answer, in bytes.
+constexpr std::uint32_t kMaxAnswerHead = 32U << 10U;
+/// Part of a body that is read at a time.
+constexpr std::size_t kPartBytes = 16UL << 10U;
+
+absl::Status StatusOf(const ErrorCode& error) {
+  const bool malformed = error.category() == http::make_error_code(http::error::bad_method).category() &&
+                         error != http::error::end_of_stream &&
+                         error != http::error::partial_message;
+  return malformed ? absl::DataLossError(error.message()) : absl::AbortedError(error.message());
+}
+
+}  // namespace
+
+void BackendCall::Send(std::string request) {
+  connection_->request = std::move(request);
+  connection_->written = false;
+  asio::async_write(connection_->socket, asio::buffer(connection_->request),
+                    [connection = connection_](const ErrorCode& error, std::size_t /*bytes*/) {
+                      // An error shows when the answer is read.
+                      connection->written = !error;
+                    });
+}
+
+asio::awaitable<absl::Status> BackendCall::ReadOneHead() {
+  parser_.emplace();
+  parser_->header_limit(kMaxAnswerHead);
+  parser_->body_limit(boost::none);
+  ErrorCode error;
+  co_await http::async_read_header(connection_->socket, connection_->buffer, *parser_,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return StatusOf(error);
+  }
+  facts_ = codec_.DecodeAnswer(head());
+  co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::Status> BackendCall::ReadHead() {
+  for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
+    absl::Status read = co_await ReadOneHead();
+    if (!read.ok()) {
+      co_return read;
+    }
+    const bool interim = head().result_int() / 100 == 1;
+    if (!interim && (facts_.request_id.empty() || facts_.request_id == request_id_)) {
+      // An answer without an id can only be trusted as a refusal.
+      const bool success = head().result_int() / 100 == 2;
+      if (facts_.request_id.empty() && success) {
+        co_return absl::DataLossError("a success without the request's id");
+      }
+      co_return absl::OkStatus();
+    }
+    const auto dropped = co_await ReadBody(kPartBytes * 16);
+    if (!dropped.ok()) {
+      co_return dropped.status();
+    }
+  }
+  co_return absl::DataLossError("answers to other requests only");
+}
+
+asio::awaitable<absl::StatusOr<std::size_t>> BackendCall::ReadPart(std::span<char> part) {
+  while (!parser_->is_done()) {
+    auto& body = parser_->get().body();
+    body.data = part.data();
+    body.size = part.size();
+    ErrorCode error;
+    co_await http::async_read_some(connection_->socket, connection_->buffer, *parser_,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != http::error::need_buffer) {
+      co_return StatusOf(error);
+    }
+    if (const std::size_t count = part.size() - body.size; count > 0) {
+      co_return count;
+    }
+  }
+  co_return std::size_t{0};
+}
+
+asio::awaitable<absl::StatusOr<std::string>> BackendCall::ReadBody(std::size_t most) {
+  std::string whole;
+  auto part = std::make_unique<std::array<char, kPartBytes>>();
+  for (;;) {
+    const auto count = co_await ReadPart(*part);
+    if (!count.ok()) {
+      co_return count.status();
+    }
+    if (*count == 0) {
+      co_return whole;
+    }
+    if (whole.size() + *count > most) {
+      co_return absl::ResourceExhaustedError("the body is too large to hold");
+    }
+    whole.append(part->data(), *count);
+  }
+}
+
+std::optional<std::uint64_t> BackendCall::content_length() const {
+  const auto length = parser_->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+bool BackendCall::reusable() const {
+  return connection_->written && parser_.has_value() && parser_->is_done() &&
+         parser_->get().keep_alive() && connection_->buffer.size() == 0;
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/backend_pool.cc
@@ -0,0 +1,113 @@
+#include "backend_pool.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
+
+#include "clock.h"
+#include "lagoonwind/http.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+/// Time to connect; many times the way there and back, less than the second after which a lost
+/// opening packet is sent again.
+constexpr milliseconds kConnectTimeout{350};
+/// Time after which unacknowledged bytes break a connection.
+constexpr milliseconds kUserTimeout{2000};
+/// Part of a stated keep-alive time for which a connection is reused; leaves room for the way to
+/// the backend server.
+constexpr double kKeepAliveShare = 0.7;
+/// Time for which a connection without a stated keep-alive time is reused.
+constexpr milliseconds kUnstatedKeepAlive{250};
+/// Connections that are kept for one backend server.
+constexpr std::size_t kMaxIdle = 64;
+
+enum class SocketState { kQuiet, kReadable, kClosed };
+
+SocketState StateOf(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t count = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    return SocketState::kReadable;
+  }
+  const bool would_block = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return would_block ? SocketState::kQuiet : SocketState::kClosed;
+}
+
+}  // namespace
+
+bool IsQuiet(asio::ip::tcp::socket& socket) { return StateOf(socket) == SocketState::kQuiet; }
+bool IsClosed(asio::ip::tcp::socket& socket) { return StateOf(socket) == SocketState::kClosed; }
+
+BackendPool::Connection BackendPool::Take(ServerId server) {
+  const auto found = idle_.find(server);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const Time now = Now();
+  while (!found->second.empty()) {
+    Connection connection = std::move(found->second.back());
+    found->second.pop_back();
+    if (now < connection->usable_until && connection->buffer.size() == 0 &&
+        IsQuiet(connection->socket)) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+asio::awaitable<absl::StatusOr<BackendPool::Connection>> BackendPool::Open(std::string address) {
+  const auto endpoint = http::ParseEndpoint(address);
+  if (!endpoint.ok()) {
+    co_return endpoint.status();
+  }
+  ++opened_;
+  auto connection = std::make_shared<BackendConnection>(io_);
+  asio::steady_timer timer(io_, kConnectTimeout);
+  timer.async_wait([weak = std::weak_ptr(connection)](const ErrorCode& error) {
+    const auto pending = weak.lock();
+    if (!error && pending != nullptr && pending->connecting) {
+      pending->connect_timed_out = true;
+      ErrorCode ignored;
+      pending->socket.close(ignored);
+    }
+  });
+  ErrorCode error;
+  co_await connection->socket.async_connect(*endpoint,
+                                            asio::redirect_error(asio::use_awaitable, error));
+  connection->connecting = false;
+  if (connection->connect_timed_out) {
+    co_return absl::DeadlineExceededError("the backend server's host doesn't answer");
+  }
+  if (error) {
+    co_return absl::UnavailableError(error.message());
+  }
+  ErrorCode ignored;
+  connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  const int user_timeout_ms = static_cast<int>(kUserTimeout.count());
+  setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+             sizeof(user_timeout_ms));
+  co_return connection;
+}
+
+void BackendPool::Keep(ServerId server, Connection connection, milliseconds keep_alive) {
+  const auto usable = keep_alive > milliseconds(0)
+                          ? std::chrono::duration_cast<Duration>(keep_alive * kKeepAliveShare)
+                          : Duration{kUnstatedKeepAlive};
+  auto& idle = idle_[server];
+  if (idle.size() >= kMaxIdle) {
+    idle.erase(idle.begin());
+  }
+  connection->usable_until = Now() + usable;
+  connection->reused = true;
+  idle.push_back(std::move(connection));
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/caller_session.cc
@@ -0,0 +1,250 @@
+#include "caller_session.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "clock.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+/// Time that a body may take.
+constexpr Duration kBodyTimeout = std::chrono::seconds(15);
+/// Time in which a caller reads a refusal before its connection is closed for good.
+constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
+/// Interval between looks whether a caller that has sent more has left.
+constexpr milliseconds kWatchInterval{50};
+/// Part of the process's memory that bodies of requests may take.
+constexpr double kBodyMemoryShare = 0.25;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kHeadTooLarge = 431;
+constexpr unsigned kUnavailable = 503;
+
+}  // namespace
+
+CallerSession::CallerSession(GatewayContext& context, asio::ip::tcp::socket socket)
+    : context_(context),
+      socket_(std::move(socket)),
+      timer_(context.io),
+      watch_timer_(context.io),
+      writer_(socket_) {
+  ErrorCode ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void CallerSession::Limit(Duration limit) {
+  timed_out_ = false;
+  timer_.expires_after(limit);
+  timer_.async_wait([weak = weak_from_this()](const ErrorCode& error) {
+    if (const auto self = weak.lock(); self != nullptr && !error) {
+      self->timed_out_ = true;
+      ErrorCode ignored;
+      self->socket_.cancel(ignored);
+    }
+  });
+}
+
+void CallerSession::CloseIfIdle() {
+  if (idle_) {
+    ErrorCode ignored;
+    socket_.cancel(ignored);
+  }
+}
+
+asio::awaitable<bool> CallerSession::AwaitRequest() {
+  if (buffer_.size() > 0) {
+    co_return true;
+  }
+  const auto configuration = context_.facts.configuration();
+  const CallerLimits limits = configuration == nullptr ? CallerLimits{} : configuration->limits;
+  Limit(limits.idle_timeout);
+  idle_ = true;
+  ErrorCode error;
+  co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                              asio::redirect_error(asio::use_awaitable, error));
+  idle_ = false;
+  timer_.cancel();
+  co_return !error;
+}
+
+asio::awaitable<CallerSession::ReadEnd> CallerSession::RefuseUnreadable(ErrorCode error) {
+  if (timed_out_) {
+    co_await Refuse(kRequestTimeout, "the request took too long to arrive", "");
+  } else if (error == http::error::header_limit) {
+    co_await Refuse(kHeadTooLarge, "the head is too large", "");
+  } else if (error == http::error::body_limit) {
+    co_await Refuse(kTooLarge, "the body is too large", "");
+  } else if (error.category() == http::make_error_code(http::error::bad_method).category() &&
+             error != http::error::end_of_stream && error != http::error::partial_message) {
+    const std::string reason = absl::StrCat("malformed request: ", error.message());
+    co_await Refuse(kBadRequest, reason, "");
+  } else {
+    co_return ReadEnd::kClosed;
+  }
+  co_return ReadEnd::kRefused;
+}
+
+asio::awaitable<CallerSession::ReadEnd> CallerSession::ReadRequest(Parser& parser) {
+  const auto configuration = context_.facts.configuration();
+  const CallerLimits limits = configuration == nullptr ? CallerLimits{} : configuration->limits;
+  parser.header_limit(limits.max_header_bytes);
+  parser.body_limit(limits.max_body_bytes);
+  Limit(limits.header_timeout);
+  ErrorCode error;
+  co_await http::async_read_header(socket_, buffer_, parser,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    Limit(kBodyTimeout);
+    co_await http::async_read(socket_, buffer_, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+  }
+  timer_.cancel();
+  if (error) {
+    co_return co_await RefuseUnreadable(error);
+  }
+  co_return ReadEnd::kRequest;
+}
+
+asio::awaitable<bool> CallerSession::Refuse(unsigned status, std::string_view reason,
+                                            std::string_view request_id) {
+  context_.log.Write(Severity::kFailure, "request_refused",
+                     {{"request", request_id}, {"status", status}, {"reason", reason}});
+  const bool unread = request_id.empty();
+  if (unread) {
+    writer_.CloseAfterwards();
+  }
+  OwnAnswer answer{.status = status, .reason = reason, .request_id = request_id};
+  if (status == kUnavailable) {
+    answer.retry_after = std::chrono::seconds(1);
+  }
+  co_return co_await writer_.WriteOwn(answer);
+}
+
+void CallerSession::WatchCaller(std::weak_ptr<Exchange> exchange) {
+  socket_.async_wait(
+      asio::ip::tcp::socket::wait_read, [self = shared_from_this(), exchange](ErrorCode error) {
+        const auto running = exchange.lock();
+        if (error || running == nullptr) {
+          return;
+        }
+        if (IsClosed(self->socket_)) {
+          running->CallerLeft();
+          return;
+        }
+        // The next request is waiting already; look again later.
+        self->watch_timer_.expires_after(kWatchInterval);
+        self->watch_timer_.async_wait([self, exchange](ErrorCode cancelled) {
+          if (!cancelled && exchange.lock() != nullptr) {
+            self->WatchCaller(exchange);
+          }
+        });
+      });
+}
+
+asio::awaitable<bool> CallerSession::ServeRequest(Parser& parser) {
+  const Time arrived = Now();
+  auto message = parser.release();
+  auto request = context_.headers.DecodeRequest(message.base());
+  if (!request.ok()) {
+    writer_.CloseAfterwards();
+    const std::string reason(request.status().message());
+    co_return co_await Refuse(kBadRequest, reason, "unknown");
+  }
+  const std::string id = request->id;
+  const auto configuration = context_.facts.configuration();
+  if (configuration == nullptr) {
+    co_return co_await Refuse(kUnavailable, "no configuration is known yet", id);
+  }
+  auto route = configuration->FindRoute(request->host, request->path);
+  if (route == nullptr) {
+    co_return co_await Refuse(kNotFound, "no route", id);
+  }
+  std::string customer;
+  if (configuration->has_customers && !route->is_public) {
+    const auto found = configuration->customers.find(request->api_key);
+    if (found == configuration->customers.end()) {
+      co_return co_await Refuse(kUnauthorized, "unknown key", id);
+    }
+    customer = found->second;
+  }
+  const auto most_held = static_cast<double>(context_.settings.memory_bytes) * kBodyMemoryShare;
+  if (static_cast<double>(context_.held_bytes + message.body().size()) > most_held) {
+    co_return co_await Refuse(kUnavailable, "too many bodies are held", id);
+  }
+  AcceptedRequest accepted{.head = message.base(),
+                           .body = std::move(message.body()),
+                           .request = *std::move(request),
+                           .route = std::move(route),
+                           .customer = std::move(customer),
+                           .configuration_version = configuration->version,
+                           .arrived = arrived};
+  const auto exchange = std::make_shared<Exchange>(context_, writer_, std::move(accepted));
+  WatchCaller(exchange);
+  const bool whole = co_await exchange->Run();
+  ErrorCode ignored;
+  socket_.cancel(ignored);
+  watch_timer_.cancel();
+  co_return whole;
+}
+
+asio::awaitable<void> CallerSession::CloseGently() {
+  // Closing with unread bytes would reset the connection and might lose the answer.
+  ErrorCode error;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  Limit(kLingerTime);
+  std::array<char, 4096> dropped{};
+  while (!error) {
+    co_await socket_.async_read_some(asio::buffer(dropped),
+                                     asio::redirect_error(asio::use_awaitable, error));
+  }
+  timer_.cancel();
+}
+
+asio::awaitable<void> CallerSession::Run(std::shared_ptr<CallerSession> session) {
+  co_await session->ServeRequests();
+}
+
+asio::awaitable<void> CallerSession::ServeRequests() {
+  bool open = true;
+  while (open) {
+    if (!co_await AwaitRequest()) {
+      break;
+    }
+    Parser parser;
+    const ReadEnd end = co_await ReadRequest(parser);
+    if (end == ReadEnd::kClosed) {
+      break;
+    }
+    if (end == ReadEnd::kRefused) {
+      co_await CloseGently();
+      break;
+    }
+    const bool keep_alive = parser.get().keep_alive();
+    if (!keep_alive || context_.draining) {
+      writer_.CloseAfterwards();
+    }
+    writer_.Reset();
+    const bool whole = co_await ServeRequest(parser);
+    if (whole && writer_.closes()) {
+      co_await CloseGently();
+    }
+    open = whole && !writer_.closes();
+  }
+  ErrorCode ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/caller_session.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+
+#include "caller_writer.h"
+#include "exchange.h"
+#include "gateway_context.h"
+
+namespace lagoonwind::gateway {
+
+/// One connection of a caller: reads its requests one after another and has each served. Not
+/// thread safe.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  /// \param context  Must outlive it.
+  CallerSession(GatewayContext& context, asio::ip::tcp::socket socket);
+
+  /// Serves the connection of `session` until it closes.
+  static asio::awaitable<void> Run(std::shared_ptr<CallerSession> session);
+  /// Closes the connection if no request is on it.
+  void CloseIfIdle();
+
+ private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  /// How reading a request ended.
+  enum class ReadEnd { kRequest, kClosed, kRefused };
+
+  asio::awaitable<void> ServeRequests();
+  asio::awaitable<bool> AwaitRequest();
+  asio::awaitable<ReadEnd> ReadRequest(Parser& parser);
+  asio::awaitable<ReadEnd> RefuseUnreadable(boost::system::error_code error);
+  asio::awaitable<bool> ServeRequest(Parser& parser);
+  asio::awaitable<bool> Refuse(unsigned status, std::string_view reason,
+                               std::string_view request_id);
+  asio::awaitable<void> CloseGently();
+  /// Stops the present read after `limit`.
+  void Limit(Duration limit);
+  /// Tells the exchange when the caller closes its connection.
+  void WatchCaller(std::weak_ptr<Exchange> exchange);
+
+  GatewayContext& context_;
+  asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  asio::steady_timer timer_;
+  asio::steady_timer watch_timer_;
+  CallerWriter writer_;
+  bool idle_ = false;
+  bool timed_out_ = false;
+};
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/caller_writer.cc
@@ -0,0 +1,99 @@
+#include "caller_writer.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/status.hpp>
+#include <chrono>
+
+#include "hop_headers.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::string_view kCrlf = "\r\n";
+constexpr std::string_view kConnectionClose = "Connection: close\r\n";
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+}  // namespace
+
+asio::awaitable<bool> CallerWriter::Flush() {
+  begun_ = true;
+  boost::system::error_code error;
+  co_await asio::async_write(socket_, asio::buffer(out_),
+                             asio::redirect_error(asio::use_awaitable, error));
+  out_.clear();
+  co_return !error;
+}
+
+asio::awaitable<bool> CallerWriter::WriteOwn(OwnAnswer answer) {
+  const std::string body = absl::StrCat(std::string(answer.reason), "\n");
+  const auto phrase = http::obsolete_reason(static_cast<http::status>(answer.status));
+  out_ = absl::StrFormat("HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n",
+                         answer.status, std::string(View(phrase)), body.size());
+  if (answer.retry_after.has_value()) {
+    const double seconds = std::chrono::duration<double>(*answer.retry_after).count();
+    absl::StrAppendFormat(&out_, "Retry-After: %.2f\r\n", seconds);
+  }
+  if (!answer.request_id.empty()) {
+    absl::StrAppend(&out_, "Lagoonwind-Request-Id: ", std::string(answer.request_id), "\r\n");
+  }
+  out_.append(close_ ? kConnectionClose : "").append(kCrlf).append(body);
+  co_return co_await Flush();
+}
+
+void CallerWriter::AppendHead(const AnswerHead& head) {
+  absl::StrAppendFormat(&out_, "HTTP/1.1 %d %s\r\n", head.result_int(),
+                        std::string(View(head.reason())));
+  for (const auto& field : head) {
+    if (!IsHopHeader(View(field.name_string()))) {
+      out_.append(View(field.name_string())).append(": ").append(View(field.value())).append(kCrlf);
+    }
+  }
+  out_.append(close_ ? kConnectionClose : "");
+}
+
+asio::awaitable<bool> CallerWriter::WriteWhole(const AnswerHead& head, std::string_view body) {
+  AppendHead(head);
+  absl::StrAppendFormat(&out_, "Content-Length: %d\r\n\r\n", body.size());
+  out_.append(body);
+  co_return co_await Flush();
+}
+
+void CallerWriter::Begin(const AnswerHead& head, std::optional<std::uint64_t> length) {
+  AppendHead(head);
+  chunked_ = !length.has_value();
+  if (chunked_) {
+    out_.append("Transfer-Encoding: chunked\r\n\r\n");
+  } else {
+    absl::StrAppendFormat(&out_, "Content-Length: %d\r\n\r\n", *length);
+  }
+}
+
+asio::awaitable<bool> CallerWriter::WritePart(std::string_view part) {
+  if (part.empty()) {
+    co_return true;
+  }
+  if (chunked_) {
+    absl::StrAppendFormat(&out_, "%x\r\n", part.size());
+  }
+  out_.append(part).append(chunked_ ? kCrlf : "");
+  co_return co_await Flush();
+}
+
+asio::awaitable<bool> CallerWriter::End() {
+  out_.append(chunked_ ? kLastChunk : "");
+  if (out_.empty()) {
+    co_return true;
+  }
+  co_return co_await Flush();
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/event_log.cc
@@ -0,0 +1,107 @@
+#include "event_log.h"
+
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "clock.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+/// Lines a second, a third of what one process writes in a second of its processor time.
+constexpr int kMaxRoutineLines = 150;
+constexpr int kMaxFailureLines = 400;
+/// Bytes that wait for standard output at most.
+constexpr std::size_t kMaxBuffered = 512UL << 10U;
+/// Bytes that a pipe that is ready for writing takes without blocking.
+constexpr std::size_t kPipeBytes = 4096;
+
+}  // namespace
+
+/// Collects lines, and writes them in parts that standard output takes without blocking.
+class EventLog::Sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  /// False if there is no room.
+  [[nodiscard]] bool HasRoom() const { return buffer_.size() < kMaxBuffered; }
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    buffer_.append(message.payload.data(), message.payload.size());
+    buffer_.push_back('\n');
+  }
+
+  void flush_() override {
+    std::size_t written = 0;
+    while (written < buffer_.size()) {
+      pollfd ready{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+      if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+        break;
+      }
+      const ssize_t count = write(STDOUT_FILENO, buffer_.data() + written,
+                                  std::min(kPipeBytes, buffer_.size() - written));
+      if (count <= 0) {
+        break;
+      }
+      written += static_cast<std::size_t>(count);
+    }
+    buffer_.erase(0, written);
+  }
+
+ private:
+  std::string buffer_;
+};
+
+EventLog::EventLog(std::string_view process)
+    : process_(process), sink_(std::make_shared<Sink>()), logger_("events", sink_) {
+  logger_.set_level(spdlog::level::trace);
+}
+
+EventLog::~EventLog() { Flush(); }
+
+bool EventLog::WithinRate(Severity severity) {
+  const Time now = Now();
+  if (now - second_ >= std::chrono::seconds(1)) {
+    second_ = now;
+    routine_lines_ = 0;
+    failure_lines_ = 0;
+  }
+  switch (severity) {
+    case Severity::kRoutine:
+      return ++routine_lines_ <= kMaxRoutineLines;
+    case Severity::kFailure:
+      return ++failure_lines_ <= kMaxFailureLines;
+    case Severity::kState:
+      return true;
+  }
+  return true;
+}
+
+void EventLog::Write(Severity severity, std::string_view event, nlohmann::ordered_json fields) {
+  if (!WithinRate(severity) || !sink_->HasRoom()) {
+    ++dropped_;
+    return;
+  }
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  nlohmann::ordered_json line{
+      {"time_ms", std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()},
+      {"process", process_},
+      {"event", event}};
+  line.update(fields);
+  logger_.info(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void EventLog::Flush() {
+  if (dropped_ != reported_dropped_) {
+    const std::uint64_t count = dropped_ - std::exchange(reported_dropped_, dropped_);
+    Write(Severity::kState, "log_dropped", {{"lines", count}});
+  }
+  logger_.flush();
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/event_splitter.cc
@@ -0,0 +1,58 @@
+#include "event_splitter.h"
+
+#include <utility>
+
+namespace lagoonwind::gateway {
+namespace {
+
+constexpr std::string_view kSeparator = "\n\n";
+constexpr std::string_view kCrlfSeparator = "\r\n\r\n";
+constexpr std::string_view kIdField = "id:";
+
+/// End of the last separator in `text`, 0 if there is none.
+std::size_t EndOfLastEvent(std::string_view text) {
+  const std::size_t plain = text.rfind(kSeparator);
+  const std::size_t crlf = text.rfind(kCrlfSeparator);
+  const std::size_t after_plain = plain == std::string_view::npos ? 0 : plain + kSeparator.size();
+  const std::size_t after_crlf = crlf == std::string_view::npos ? 0 : crlf + kCrlfSeparator.size();
+  return std::max(after_plain, after_crlf);
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string EventSplitter::Add(std::string_view bytes) {
+  pending_.append(bytes);
+  const std::size_t end = EndOfLastEvent(pending_);
+  if (end == 0) {
+    return {};
+  }
+  std::string events = pending_.substr(0, end);
+  pending_.erase(0, end);
+  NoteId(events);
+  return events;
+}
+
+void EventSplitter::NoteId(std::string_view events) {
+  // Only the last id line matters.
+  std::size_t at = events.rfind(kIdField);
+  while (at != std::string_view::npos && at > 0 && events[at - 1] != '\n') {
+    at = events.rfind(kIdField, at - 1);
+  }
+  if (at == std::string_view::npos) {
+    return;
+  }
+  const std::string_view line = events.substr(at, events.find('\n', at) - at);
+  last_id_ = std::string(Trim(line.substr(kIdField.size())));
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/fleet_facts.cc
@@ -0,0 +1,209 @@
+#include "fleet_facts.h"
+
+#include <algorithm>
+
+#include "clock.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+/// Time after the store's return in which backend servers whose entries lapsed register again.
+constexpr Duration kReregistrationTime = std::chrono::milliseconds(2200);
+/// Time for which a backend server that seems to have restarted is treated as cold, unless its
+/// service states how long it takes to warm up.
+constexpr Duration kDefaultColdTime = std::chrono::seconds(3);
+
+}  // namespace
+
+std::int64_t FleetFacts::offset(Topic topic) const {
+  const auto found = offsets_.find(topic);
+  return found == offsets_.end() ? 0 : found->second;
+}
+
+const std::map<std::string, std::string>& FleetFacts::records(Topic topic) const {
+  static const std::map<std::string, std::string> kNone;
+  const auto found = records_.find(topic);
+  return found == records_.end() ? kNone : found->second;
+}
+
+std::vector<Record> FleetFacts::Vanished(const std::map<std::string, std::string>& known,
+                                         const RecordPage& page) {
+  std::vector<Record> gone;
+  for (const auto& [key, value] : known) {
+    if (std::ranges::find(page.records, key, &Record::key) == page.records.end()) {
+      gone.push_back({.key = key});
+    }
+  }
+  return gone;
+}
+
+void FleetFacts::Apply(Topic topic, const RecordPage& page, bool complete, std::string_view source,
+                       Time now) {
+  std::int64_t& offset = offsets_[topic];
+  if (page.next_offset < offset) {
+    return;
+  }
+  offset = page.next_offset;
+  auto& known = records_[topic];
+  std::vector<Record> changes = complete ? Vanished(known, page) : std::vector<Record>{};
+  changes.insert(changes.end(), page.records.begin(), page.records.end());
+  for (const Record& record : changes) {
+    const auto before = known.find(record.key);
+    const bool same = record.value.has_value() && before != known.end() &&
+                      before->second == *record.value;
+    if (record.value.has_value()) {
+      known[record.key] = *record.value;
+    } else {
+      known.erase(record.key);
+    }
+    if (topic == Topic::kServers) {
+      ApplyServerRecord(record, now);
+    } else if (topic == Topic::kOperator && !same) {
+      ApplyOperatorRecord(record, source, now);
+    }
+  }
+}
+
+void FleetFacts::ApplyOperatorRecord(const Record& record, std::string_view source, Time now) {
+  const auto change = codec_.DecodeOperatorRecord(record);
+  if (!change.ok()) {
+    log_.Write(Severity::kState, "record_not_understood",
+               {{"key", record.key}, {"reason", change.status().ToString()}});
+    return;
+  }
+  if (change->configuration != nullptr) {
+    const std::int64_t known = configuration_ == nullptr ? -1 : configuration_->version;
+    const bool newer = change->configuration->version > known;
+    if (newer) {
+      configuration_ = change->configuration;
+    }
+    log_.Write(Severity::kState, newer ? "configuration_in_force" : "configuration_ignored",
+               {{"version", change->configuration->version},
+                {"known", known},
+                {"source", source},
+                {"routes", change->configuration->routes.size()}});
+  }
+  if (change->evacuated_zone.empty()) {
+    return;
+  }
+  const std::string& zone = change->evacuated_zone;
+  if (change->evacuation_ended) {
+    evacuated_.erase(zone);
+    // Its backend servers may have become cold meanwhile without a word of it.
+    for (auto& [key, known] : servers_) {
+      if (known.server.zone == zone) {
+        known.cold_until = std::max(known.cold_until, now + kDefaultColdTime);
+      }
+    }
+  } else {
+    evacuated_.insert(zone);
+  }
+  log_.Write(Severity::kState, change->evacuation_ended ? "zone_taken_back" : "zone_evacuated",
+             {{"zone", zone}, {"source", source}});
+}
+
+void FleetFacts::ApplyServerRecord(const Record& record, Time now) {
+  if (!record.value.has_value()) {
+    LapseServer(record.key, now);
+    return;
+  }
+  const auto decoded = codec_.DecodeServer(record);
+  const auto known = servers_.find(record.key);
+  if (!decoded.ok()) {
+    log_.Write(Severity::kRoutine, "server_not_usable",
+               {{"server", record.key}, {"reason", decoded.status().ToString()}});
+    return;
+  }
+  if (known != servers_.end()) {
+    const BackendServer& before = known->second.server;
+    const bool older = decoded->born_ms < before.born_ms ||
+                       (decoded->born_ms == before.born_ms && decoded->sequence < before.sequence);
+    if (older) {
+      return;
+    }
+    if (decoded->id != before.id) {
+      DropServer(record.key, "restarted");
+    }
+  }
+  const auto [slot, added] = servers_.try_emplace(record.key);
+  KnownServer& entry = slot->second;
+  const bool changed = added || entry.server.draining != decoded->draining || entry.lapsed;
+  entry.server = *decoded;
+  entry.heard = now;
+  entry.lapsed.reset();
+  if (decoded->cold_left > milliseconds(0)) {
+    entry.cold_until = now + decoded->cold_left;
+  }
+  if (changed) {
+    log_.Write(Severity::kState, "server_known",
+               {{"server", decoded->name},
+                {"service", decoded->service},
+                {"zone", decoded->zone},
+                {"draining", decoded->draining},
+                {"cold_left_ms", decoded->cold_left.count()},
+                {"sequence", decoded->sequence}});
+  }
+}
+
+void FleetFacts::LapseServer(const std::string& key, Time now) {
+  const auto found = servers_.find(key);
+  if (found == servers_.end()) {
+    return;
+  }
+  if (regained_ != Time{} && now - regained_ < kReregistrationTime &&
+      !found->second.server.draining) {
+    found->second.lapsed = now;
+    return;
+  }
+  DropServer(key, "gone from the store");
+}
+
+void FleetFacts::DropLapsed(Time now) {
+  std::vector<std::string> gone;
+  for (const auto& [key, known] : servers_) {
+    if (known.lapsed && now - *known.lapsed >= kReregistrationTime) {
+      gone.push_back(key);
+    }
+  }
+  std::ranges::for_each(gone, [&](const auto& key) { DropServer(key, "didn't come back"); });
+}
+
+void FleetFacts::DropServer(const std::string& key, std::string_view reason) {
+  const auto found = servers_.find(key);
+  if (found == servers_.end()) {
+    return;
+  }
+  const BackendServer server = found->second.server;
+  servers_.erase(found);
+  log_.Write(Severity::kState, "server_gone", {{"server", server.name}, {"reason", reason}});
+  if (server_gone_) {
+    server_gone_(server);
+  }
+}
+
+void FleetFacts::SuspectRestart(ServerId server, Time now) {
+  for (auto& [key, known] : servers_) {
+    if (known.server.id == server) {
+      known.cold_until = std::max(known.cold_until, now + kDefaultColdTime);
+    }
+  }
+}
+
+std::vector<const KnownServer*> FleetFacts::Usable(std::string_view service) const {
+  std::vector<const KnownServer*> usable;
+  for (const auto& [key, known] : servers_) {
+    if (known.server.service == service && !known.server.draining &&
+        !evacuated_.contains(known.server.zone)) {
+      usable.push_back(&known);
+    }
+  }
+  return usable;
+}
+
+const KnownServer* FleetFacts::Find(ServerId id) const {
+  const auto found = std::ranges::find_if(
+      servers_, [&](const auto& entry) { return entry.second.server.id == id; });
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway.cc
@@ -0,0 +1,256 @@
+#include "lagoonwind/gateway.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <vector>
+
+#include "caller_session.h"
+#include "clock.h"
+#include "gateway_context.h"
+#include "lagoonwind/http.h"
+#include "spawn.h"
+#include "store_follower.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+
+/// Interval at which buffered log lines are handed on.
+constexpr milliseconds kLogFlushInterval{100};
+/// Longest time for which a call for operators' records is held. Short, so that a connection that
+/// has gone silent is noticed well before a configuration must be in force.
+constexpr milliseconds kOperatorWait{900};
+/// Pause between reads of the list of backend servers; a fraction of the time in which one that
+/// leaves must be known.
+constexpr milliseconds kServersPause{400};
+/// Time after SIGTERM in which the balancer learns that no new connections are wanted.
+constexpr Duration kBalancerTime = std::chrono::milliseconds(2500);
+/// Time before the end of the grace at which the process stops, whatever still runs.
+constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+constexpr milliseconds kDrainPollInterval{100};
+/// Callers' connections that are held at a time.
+constexpr std::size_t kMaxSessions = 2500;
+
+/// The process: its ports, its followers of the store, and its drain.
+class Gateway {
+ public:
+  Gateway(const Settings& settings, const Adapter& adapter)
+      : settings_(settings),
+        adapter_(adapter),
+        context_(io_, settings, adapter),
+        operators_(adapter.store, context_.facts, context_.log,
+                   {.topic = Topic::kOperator, .name = "operator", .wait = kOperatorWait}),
+        servers_(adapter.store, context_.facts, context_.log,
+                 {.topic = Topic::kServers, .name = "servers", .pause = kServersPause}),
+        callers_(io_),
+        readiness_(io_),
+        metrics_(io_),
+        signals_(io_, SIGTERM, SIGINT),
+        reload_(io_, SIGHUP) {}
+
+  int Run() {
+    const absl::Status started = Start();
+    context_.log.Write(Severity::kState, started.ok() ? "started" : "start_failed",
+                       {{"zone", settings_.zone},
+                        {"callers", settings_.caller_listen},
+                        {"store", settings_.store_address},
+                        {"seeds", settings_.seeds},
+                        {"outcome", started.ToString()}});
+    if (!started.ok()) {
+      return 1;
+    }
+    io_.run();
+    context_.log.Write(Severity::kState, "stopped", {{"requests", context_.active_requests}});
+    return 0;
+  }
+
+ private:
+  absl::Status Start() {
+    for (const auto& [acceptor, address] :
+         {std::pair{&callers_, settings_.caller_listen},
+          std::pair{&readiness_, settings_.readiness_listen},
+          std::pair{&metrics_, absl::StrCat(settings_.ip, ":", settings_.metrics_port)}}) {
+      const auto endpoint = http::ParseEndpoint(address);
+      const absl::Status listening =
+          endpoint.ok() ? http::Listen(*acceptor, *endpoint) : endpoint.status();
+      if (!listening.ok()) {
+        return listening;
+      }
+    }
+    if (absl::Status peers = context_.Start(); !peers.ok()) {
+      return peers;
+    }
+    Spawn(io_, context_.log, "follow_operators", operators_.Run());
+    Spawn(io_, context_.log, "follow_servers", servers_.Run());
+    Spawn(io_, context_.log, "readiness", ServeReadiness());
+    Spawn(io_, context_.log, "metrics", ServeMetrics());
+    Spawn(io_, context_.log, "accept", AcceptCallers());
+    Spawn(io_, context_.log, "flush_log", FlushLog());
+    Spawn(io_, context_.log, "signals", AwaitSignal());
+    Spawn(io_, context_.log, "reload", AwaitReload());
+    return absl::OkStatus();
+  }
+
+  asio::awaitable<void> ServeReadiness() {
+    const http::Handler handler = [this](http::Request request) -> asio::awaitable<http::Response> {
+      if (request.target != context_.headers.readiness_path()) {
+        co_return http::Response{.status = kNotFound};
+      }
+      const bool ready = !context_.draining && context_.facts.configuration() != nullptr &&
+                         context_.facts.server_count() > 0;
+      co_return http::Response{.status = ready ? kOk : kUnavailable};
+    };
+    co_await http::Serve(readiness_, handler, 0);
+  }
+
+  asio::awaitable<void> ServeMetrics() {
+    const http::Handler handler = [this](http::Request request) -> asio::awaitable<http::Response> {
+      if (request.target != "/metrics") {
+        co_return http::Response{.status = kNotFound};
+      }
+      UpdateMetrics();
+      co_return http::Response{
+          .status = kOk, .content_type = "text/plain", .body = context_.metrics.Page()};
+    };
+    co_await http::Serve(metrics_, handler, 0);
+  }
+
+  void UpdateMetrics() {
+    auto& metrics = context_.metrics;
+    const auto configuration = context_.facts.configuration();
+    const Time now = Now();
+    metrics.Set("lagoonwind_gateway_configuration_version", "Version in force, -1 if none",
+                configuration == nullptr ? -1 : static_cast<double>(configuration->version));
+    metrics.Set("lagoonwind_gateway_operator_records_age_seconds",
+                "Time since the store last answered about operators' records",
+                Milliseconds(now - operators_.last_answer()) / 1000);
+    metrics.Set("lagoonwind_gateway_server_records_age_seconds",
+                "Time since the store last answered about backend servers",
+                Milliseconds(now - servers_.last_answer()) / 1000);
+    metrics.Set("lagoonwind_gateway_store_calls_total", "Calls to the store",
+                static_cast<double>(operators_.calls() + servers_.calls()));
+    metrics.Set("lagoonwind_gateway_running_requests", "Requests that are being served",
+                context_.active_requests);
+    metrics.Set("lagoonwind_gateway_held_body_bytes", "Bytes of request bodies that are held",
+                static_cast<double>(context_.held_bytes));
+    metrics.Set("lagoonwind_gateway_peers", "Other gateways that were heard lately",
+                context_.peers.live());
+    metrics.Set("lagoonwind_gateway_peer_bytes_total", "Bytes of reports sent to other gateways",
+                static_cast<double>(context_.peers.sent_bytes()));
+    metrics.Set("lagoonwind_gateway_backend_connections_total",
+                "Connections opened to backend servers",
+                static_cast<double>(context_.pool.opened()));
+    metrics.Set("lagoonwind_gateway_reading_rate_tokens_per_second",
+                "Prompt tokens that an engine is believed to read in a second",
+                context_.load.reading_rate());
+    metrics.Set("lagoonwind_gateway_log_lines_dropped_total", "Log lines that were dropped",
+                static_cast<double>(context_.log.dropped()));
+    for (auto& [service, budget] : context_.budgets) {
+      metrics.Set(absl::StrCat("lagoonwind_gateway_retry_budget_left_", service),
+                  "Repeated sends that this gateway may still make",
+                  budget.Left(context_.peers.fleet_size(), now));
+    }
+  }
+
+  asio::awaitable<void> AcceptCallers() {
+    for (;;) {
+      ErrorCode error;
+      asio::ip::tcp::socket socket =
+          co_await callers_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+      if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+        co_return;
+      }
+      std::erase_if(sessions_, [](const auto& session) { return session.expired(); });
+      if (error || sessions_.size() >= kMaxSessions) {
+        context_.log.Write(Severity::kFailure, "connection_not_taken",
+                           {{"reason", error ? error.message() : "too many connections"}});
+        continue;
+      }
+      const auto session = std::make_shared<CallerSession>(context_, std::move(socket));
+      sessions_.push_back(session);
+      Spawn(io_, context_.log, "caller_session", CallerSession::Run(session));
+    }
+  }
+
+  asio::awaitable<void> FlushLog() {
+    asio::steady_timer timer(io_);
+    for (;;) {
+      context_.log.Flush();
+      timer.expires_after(kLogFlushInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+
+  asio::awaitable<void> AwaitReload() {
+    for (;;) {
+      co_await reload_.async_wait(asio::use_awaitable);
+      // Addresses and bounds are fixed for the life of a process.
+      context_.log.Write(Severity::kState, "reload", {{"changed", false}});
+    }
+  }
+
+  asio::awaitable<void> AwaitSignal() {
+    co_await signals_.async_wait(asio::use_awaitable);
+    const Time begun = Now();
+    context_.draining = true;
+    context_.peers.Leave();
+    context_.log.Write(Severity::kState, "draining", {{"requests", context_.active_requests}});
+    asio::steady_timer timer(io_);
+    for (;;) {
+      timer.expires_after(kDrainPollInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+      const Duration passed = Now() - begun;
+      if (passed > settings_.shutdown_grace - kStopMargin) {
+        break;
+      }
+      if (passed < kBalancerTime) {
+        continue;
+      }
+      std::erase_if(sessions_, [](const auto& session) { return session.expired(); });
+      if (sessions_.empty() && context_.active_requests == 0) {
+        break;
+      }
+      for (const auto& session : sessions_) {
+        if (const auto open = session.lock()) {
+          open->CloseIfIdle();
+        }
+      }
+    }
+    io_.stop();
+  }
+
+  asio::io_context io_{1};
+  const Settings& settings_;
+  const Adapter& adapter_;
+  GatewayContext context_;
+  StoreFollower operators_;
+  StoreFollower servers_;
+  asio::ip::tcp::acceptor callers_;
+  asio::ip::tcp::acceptor readiness_;
+  asio::ip::tcp::acceptor metrics_;
+  asio::signal_set signals_;
+  asio::signal_set reload_;
+  std::vector<std::weak_ptr<CallerSession>> sessions_;
+};
+
+}  // namespace
+
+int RunGateway(const Settings& settings, const Adapter& adapter) {
+  // A peer that closed its connection shows as an error of the write.
+  std::signal(SIGPIPE, SIG_IGN);
+  return Gateway(settings, adapter).Run();
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway_context.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <random>
+#include <string>
+
+#include "backend_pool.h"
+#include "crash_watch.h"
+#include "event_log.h"
+#include "fleet_facts.h"
+#include "gateway_metrics.h"
+#include "lagoonwind/dispatch.h"
+#include "lagoonwind/gateway.h"
+#include "peers.h"
+
+namespace lagoonwind::gateway {
+
+/// What all requests of a gateway share. Everything runs on one thread.
+struct GatewayContext {
+  GatewayContext(asio::io_context& io, const Settings& own_settings, const Adapter& own_adapter);
+
+  /// Starts the exchange with peers. Unavailable if a port is taken.
+  absl::Status Start();
+  /// Budget of repeated sends to a service.
+  policy::RetryBudget& BudgetOf(const std::string& service);
+  /// A number from 0 up to 1.
+  double Random() { return std::uniform_real_distribution<double>(0, 1)(random); }
+
+  asio::io_context& io;
+  const Settings& settings;
+  const HeaderCodec& headers;
+  RecordStore& store;
+  std::mt19937_64 random;
+  EventLog log;
+  GatewayMetrics metrics;
+  FleetFacts facts;
+  BackendPool pool;
+  policy::EngineLoad load;
+  policy::CustomerShare share;
+  policy::ServerHealth health;
+  policy::ColdLimit cold;
+  policy::CrashSuspects suspects;
+  CrashWatch crashes;
+  policy::Dispatch dispatch;
+  Peers peers;
+  /// Requests of this gateway that run on each backend server.
+  absl::flat_hash_map<ServerId, int> outstanding;
+  absl::flat_hash_map<std::string, policy::RetryBudget> budgets;
+  /// Bytes of request bodies that are held.
+  std::uint64_t held_bytes = 0;
+  Time started = Time{};
+  bool draining = false;
+  int active_requests = 0;
+
+ private:
+  void FillReport(wire::GatewayReport& report);
+  void TakeReport(const wire::GatewayReport& report);
+  void ForgetServer(const BackendServer& server);
+
+  std::uint64_t reports_ = 0;
+};
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway_metrics.cc
@@ -0,0 +1,88 @@
+#include "gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <cmath>
+
+namespace lagoonwind::gateway {
+namespace {
+
+using prometheus::Labels;
+
+const prometheus::Histogram::BucketBoundaries kSeconds{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5,
+                                                       0.6,  0.8,   1,    2,   3,   5,   10,  15};
+/// Customers with series of their own; all others share one.
+constexpr std::size_t kMaxCustomerSeries = 100;
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      requests_(prometheus::BuildCounter()
+                    .Name("lagoonwind_gateway_requests_total")
+                    .Help("Requests that are over, by kind of route and outcome")
+                    .Register(*registry_)),
+      customers_(prometheus::BuildCounter()
+                     .Name("lagoonwind_gateway_customer_requests_total")
+                     .Help("Requests that are over, by customer and outcome")
+                     .Register(*registry_)),
+      resent_(prometheus::BuildCounter()
+                  .Name("lagoonwind_gateway_resent_total")
+                  .Help("Requests that were sent once more, by reason")
+                  .Register(*registry_)),
+      duration_(prometheus::BuildHistogram()
+                    .Name("lagoonwind_gateway_request_seconds")
+                    .Help("Time from a request's arrival to its end, by kind of route")
+                    .Register(*registry_)),
+      first_byte_(prometheus::BuildHistogram()
+                      .Name("lagoonwind_gateway_first_byte_seconds")
+                      .Help("Time from a request's arrival to the first byte of the answer's body")
+                      .Register(*registry_)),
+      begin_error_(prometheus::BuildHistogram()
+                       .Name("lagoonwind_gateway_begin_error_seconds")
+                       .Help("Difference of expected and seen time until an engine began")
+                       .Register(*registry_)
+                       .Add({}, kSeconds)) {}
+
+void GatewayMetrics::RequestDone(std::string_view kind, std::string_view customer,
+                                 std::string_view outcome, double seconds) {
+  requests_.Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}}).Increment();
+  duration_.Add({{"kind", std::string(kind)}}, kSeconds).Observe(seconds);
+  if (customer.empty()) {
+    return;
+  }
+  Labels labels{{"customer", std::string(customer)}, {"outcome", std::string(outcome)}};
+  if (!customers_.Has(labels)) {
+    if (customer_series_ >= kMaxCustomerSeries) {
+      labels["customer"] = "other";
+    }
+    ++customer_series_;
+  }
+  customers_.Add(labels).Increment();
+}
+
+void GatewayMetrics::FirstByte(std::string_view kind, double seconds) {
+  first_byte_.Add({{"kind", std::string(kind)}}, kSeconds).Observe(seconds);
+}
+
+void GatewayMetrics::BeginError(double expected, double seen) {
+  begin_error_.Observe(std::abs(expected - seen));
+}
+
+void GatewayMetrics::Resent(std::string_view reason) {
+  resent_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void GatewayMetrics::Set(const std::string& name, const std::string& help, double value) {
+  const auto [slot, added] = gauges_.try_emplace(name);
+  if (added) {
+    slot->second = &prometheus::BuildGauge().Name(name).Help(help).Register(*registry_).Add({});
+  }
+  slot->second->Set(value);
+}
+
+std::string GatewayMetrics::Page() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway_metrics.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lagoonwind::gateway {
+
+/// Metrics of a gateway; docs/METRICS.md lists them with their units. Not thread safe.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  /// A request is over.
+  /// \param kind     Kind of its route.
+  /// \param outcome  What became of it.
+  /// \param seconds  From its arrival.
+  void RequestDone(std::string_view kind, std::string_view customer, std::string_view outcome,
+                   double seconds);
+  /// The first byte of an answer's body arrived.
+  void FirstByte(std::string_view kind, double seconds);
+  /// An engine was expected to begin after `expected` and began after `seen` seconds.
+  void BeginError(double expected, double seen);
+  /// A request was sent to a backend server once more.
+  void Resent(std::string_view reason);
+  /// Sets a gauge that is read from elsewhere.
+  void Set(const std::string& name, const std::string& help, double value);
+  /// The page in Prometheus' text format.
+  [[nodiscard]] std::string Page() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& customers_;
+  prometheus::Family<prometheus::Counter>& resent_;
+  prometheus::Family<prometheus::Histogram>& duration_;
+  prometheus::Family<prometheus::Histogram>& first_byte_;
+  prometheus::Histogram& begin_error_;
+  absl::flat_hash_map<std::string, prometheus::Gauge*> gauges_;
+  std::size_t customer_series_ = 0;
+};
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/peers.cc
@@ -0,0 +1,308 @@
+#include "peers.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include "clock.h"
+#include "lagoonwind/http.h"
+#include "spawn.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+using ErrorCode = boost::system::error_code;
+using nlohmann::json;
+
+/// Interval between reports; a small part of the time in which engines' queues change.
+constexpr milliseconds kReportInterval{80};
+/// Silence after which a peer counts as down.
+constexpr Duration kSilence = std::chrono::milliseconds(1500);
+/// Interval between reports to a peer that is down.
+constexpr Duration kDownPingInterval = std::chrono::seconds(1);
+/// Time for which a peer that was last heard or listed counts for limits over the fleet.
+constexpr Duration kFleetMemory = std::chrono::seconds(20);
+/// Time after which an address that was never heard is forgotten.
+constexpr Duration kForgetTime = std::chrono::seconds(120);
+/// Interval between looks at the list of gateways in the store.
+constexpr std::chrono::seconds kListInterval{10};
+/// Interval between looks for peers with newer records.
+constexpr milliseconds kCopyInterval{250};
+constexpr milliseconds kCopyTimeout{1500};
+constexpr std::string_view kRecordsPath = "/records";
+/// Addresses that one report names at most.
+constexpr std::size_t kMaxNamedPeers = 32;
+
+const std::array<std::pair<const char*, Topic>, 2> kCopiedTopics{
+    {{"operator", Topic::kOperator}, {"servers", Topic::kServers}}};
+
+RecordPage PageOf(const json& topic) {
+  RecordPage page{.next_offset = topic.at("next_offset")};
+  for (const auto& [key, value] : topic.at("records").items()) {
+    page.records.push_back({.key = key, .value = value.get<std::string>()});
+  }
+  return page;
+}
+
+}  // namespace
+
+Peers::Peers(asio::io_context& io, Init init)
+    : io_(io), init_(std::move(init)), socket_(io), acceptor_(io) {
+  std::ranges::for_each(init_.settings.seeds, [this](const auto& seed) { Learn(seed); });
+}
+
+absl::Status Peers::Start() {
+  const auto endpoint =
+      http::ParseEndpoint(absl::StrCat(init_.settings.ip, ":", init_.settings.peer_port));
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  ErrorCode error;
+  socket_.open(Udp::v4(), error);
+  if (!error) {
+    socket_.bind(Udp::endpoint(endpoint->address(), endpoint->port()), error);
+  }
+  if (error) {
+    return absl::UnavailableError(absl::StrCat("can't open the peers' port: ", error.message()));
+  }
+  const absl::Status listening = http::Listen(acceptor_, *endpoint);
+  if (!listening.ok()) {
+    return listening;
+  }
+  Spawn(io_, init_.log, "receive_reports", Receive());
+  Spawn(io_, init_.log, "send_reports", SendReports());
+  Spawn(io_, init_.log, "register", Register());
+  Spawn(io_, init_.log, "copy_records", CopyNewerRecords());
+  Spawn(io_, init_.log, "serve_records", ServeRecords());
+  return absl::OkStatus();
+}
+
+void Peers::Learn(const std::string& address) {
+  if (address != init_.settings.ip && http::ParseEndpoint(absl::StrCat(address, ":1")).ok()) {
+    peers_[address].listed = Now();
+  }
+}
+
+int Peers::live() const {
+  return static_cast<int>(
+      std::ranges::count_if(peers_, [](const auto& entry) { return entry.second.is_up; }));
+}
+
+int Peers::fleet_size() const {
+  const Time now = Now();
+  const auto counts = [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return now - std::max(peer.heard, peer.listed) < kFleetMemory;
+  };
+  return static_cast<int>(std::ranges::count_if(peers_, counts)) + 1;
+}
+
+void Peers::Handle(std::string_view datagram, const std::string& address) {
+  const auto report = wire::DecodeGatewayReport(datagram);
+  if (!report.ok()) {
+    init_.log.Write(Severity::kFailure, "peer_report_not_understood",
+                    {{"peer", address}, {"reason", report.status().ToString()}});
+    return;
+  }
+  if (report->sender == init_.incarnation) {
+    return;
+  }
+  Peer& peer = peers_[address];
+  if (!peer.is_up || peer.incarnation != report->sender) {
+    init_.log.Write(Severity::kState, "peer_up", {{"peer", address}});
+  }
+  peer.is_up = true;
+  peer.incarnation = report->sender;
+  peer.heard = Now();
+  peer.operator_offset = report->operator_offset;
+  peer.servers_offset = report->servers_offset;
+  peer.leaving = report->leaving;
+  for (const std::string& other : report->known_peers) {
+    if (!peers_.contains(other)) {
+      Learn(other);
+    }
+  }
+  init_.report_received(*report);
+}
+
+asio::awaitable<void> Peers::Receive() {
+  for (;;) {
+    Udp::endpoint sender;
+    ErrorCode error;
+    const std::size_t size = co_await socket_.async_receive_from(
+        asio::buffer(buffer_), sender, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      Handle({buffer_.data(), size}, sender.address().to_string());
+    }
+  }
+}
+
+void Peers::NoteSilent(Time now) {
+  for (auto& [address, peer] : peers_) {
+    if (peer.is_up && now - peer.heard > kSilence) {
+      peer.is_up = false;
+      init_.log.Write(Severity::kState, "peer_silent",
+                      {{"peer", address}, {"silent_ms", Milliseconds(now - peer.heard)}});
+    }
+  }
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const Peer& peer = it->second;
+    if (now - std::max(peer.heard, peer.listed) > kForgetTime) {
+      peers_.erase(it++);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Peers::SendAll(const std::string& datagram, Time now) {
+  for (auto& [address, peer] : peers_) {
+    if (!peer.is_up && now - peer.pinged < kDownPingInterval) {
+      continue;
+    }
+    peer.pinged = now;
+    ErrorCode error;
+    socket_.send_to(asio::buffer(datagram),
+                    Udp::endpoint(asio::ip::make_address(address), init_.settings.peer_port), 0,
+                    error);
+    // A lost report is made good by the next one.
+    sent_bytes_ += error ? 0 : datagram.size();
+  }
+}
+
+asio::awaitable<void> Peers::SendReports() {
+  asio::steady_timer timer(io_);
+  socket_.non_blocking(true);
+  for (;;) {
+    const Time now = Now();
+    NoteSilent(now);
+    wire::GatewayReport report{.sender = init_.incarnation,
+                               .operator_offset = init_.facts.offset(Topic::kOperator),
+                               .servers_offset = init_.facts.offset(Topic::kServers),
+                               .leaving = leaving_};
+    for (const auto& [address, peer] : peers_) {
+      if (peer.is_up && report.known_peers.size() < kMaxNamedPeers) {
+        report.known_peers.push_back(address);
+      }
+    }
+    init_.report_wanted(report);
+    SendAll(wire::EncodeGatewayReport(report), now);
+    timer.expires_after(kReportInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> Peers::Register() {
+  asio::steady_timer timer(io_);
+  bool registered = false;
+  for (;;) {
+    if (!registered) {
+      Record record{.key = init_.settings.ip,
+                    .value = json{{"port", init_.settings.peer_port}}.dump()};
+      const absl::Status written = co_await init_.store.Write(Topic::kPeers, std::move(record));
+      registered = written.ok();
+      if (!registered) {
+        init_.log.Write(Severity::kState, "registration_failed", {{"reason", written.ToString()}});
+      }
+    }
+    const auto page = co_await init_.store.ReadNewest(Topic::kPeers);
+    if (page.ok()) {
+      std::ranges::for_each(page->records, [this](const Record& record) {
+        if (!peers_.contains(record.key)) {
+          Learn(record.key);
+        }
+      });
+    }
+    timer.expires_after(registered && page.ok() ? kListInterval : std::chrono::seconds(1));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+std::string Peers::RecordsText() const {
+  json text;
+  for (const auto& [name, topic] : kCopiedTopics) {
+    text[name] = {{"next_offset", init_.facts.offset(topic)},
+                  {"records", init_.facts.records(topic)}};
+  }
+  return text.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+asio::awaitable<void> Peers::ServeRecords() {
+  const http::Handler handler = [this](http::Request request) -> asio::awaitable<http::Response> {
+    if (request.target != kRecordsPath) {
+      co_return http::Response{.status = 404};
+    }
+    co_return http::Response{
+        .status = 200, .content_type = "application/json", .body = RecordsText()};
+  };
+  co_await http::Serve(acceptor_, handler, 0);
+}
+
+std::string Peers::NewerPeer() const {
+  std::string best;
+  std::int64_t offset = init_.facts.offset(Topic::kOperator);
+  for (const auto& [address, peer] : peers_) {
+    if (peer.is_up && peer.operator_offset > offset) {
+      best = address;
+      offset = peer.operator_offset;
+    }
+  }
+  if (!best.empty()) {
+    return best;
+  }
+  // Entries of backend servers change all the time; only old ones are worth a copy.
+  constexpr std::int64_t kServerRecordsBehind = 20;
+  offset = init_.facts.offset(Topic::kServers) + kServerRecordsBehind;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.is_up && peer.servers_offset > offset) {
+      best = address;
+      offset = peer.servers_offset;
+    }
+  }
+  return best;
+}
+
+asio::awaitable<absl::Status> Peers::CopyFrom(std::string address) {
+  http::Request request{.target = std::string(kRecordsPath)};
+  const std::string endpoint = absl::StrCat(address, ":", init_.settings.peer_port);
+  const auto answer = co_await http::Fetch(endpoint, std::move(request), kCopyTimeout);
+  if (!answer.ok()) {
+    co_return answer.status();
+  }
+  const json body = json::parse(answer->body, nullptr, false);
+  try {
+    for (const auto& [name, topic] : kCopiedTopics) {
+      init_.facts.Apply(topic, PageOf(body.at(name)), true, "peer", Now());
+    }
+  } catch (const json::exception& error) {
+    co_return absl::DataLossError(error.what());
+  }
+  co_return absl::OkStatus();
+}
+
+asio::awaitable<void> Peers::CopyNewerRecords() {
+  asio::steady_timer timer(io_);
+  std::string behind;
+  for (;;) {
+    // A peer counts as newer only if it still is an interval later: the store mostly answers all
+    // gateways within that time.
+    const std::string newer = NewerPeer();
+    if (!newer.empty() && !behind.empty()) {
+      const absl::Status copied = co_await CopyFrom(newer);
+      init_.log.Write(Severity::kState, "records_copied",
+                      {{"peer", newer},
+                       {"outcome", copied.ToString()},
+                       {"operator_offset", init_.facts.offset(Topic::kOperator)},
+                       {"servers_offset", init_.facts.offset(Topic::kServers)}});
+    }
+    behind = newer;
+    timer.expires_after(kCopyInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/peers.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "event_log.h"
+#include "fleet_facts.h"
+#include "lagoonwind/gateway.h"
+#include "lagoonwind/gateway_report.h"
+
+namespace lagoonwind::gateway {
+
+/// Exchanges reports with the other gateways, each with each, and copies records from a peer that
+/// knows newer ones, so that a gateway that the store turns away stays current. The cost for each
+/// gateway grows with the number of gateways: one datagram to each of them in each interval. Not
+/// thread safe.
+class Peers {
+ public:
+  /// What a report says of load.
+  using ReportReceived = std::function<void(const wire::GatewayReport&)>;
+  /// Fills in load, parts, customers and crashes of the next report.
+  using ReportWanted = std::function<void(wire::GatewayReport&)>;
+
+  struct Init {
+    const Settings& settings;
+    Incarnation incarnation;
+    RecordStore& store;
+    FleetFacts& facts;
+    EventLog& log;
+    ReportReceived report_received;
+    ReportWanted report_wanted;
+  };
+
+  Peers(asio::io_context& io, Init init);
+
+  /// Opens the ports and begins. Unavailable if a port is taken.
+  absl::Status Start();
+  /// Tells the others that this gateway stops.
+  void Leave() { leaving_ = true; }
+
+  /// Gateways that take part in limits over the whole fleet, this one included.
+  [[nodiscard]] int fleet_size() const;
+  /// Peers that were heard lately.
+  [[nodiscard]] int live() const;
+  [[nodiscard]] std::uint64_t sent_bytes() const { return sent_bytes_; }
+
+ private:
+  using Udp = asio::ip::udp;
+
+  struct Peer {
+    Incarnation incarnation;
+    Time heard{};
+    Time pinged{};
+    Time listed{};
+    std::int64_t operator_offset = 0;
+    std::int64_t servers_offset = 0;
+    bool leaving = false;
+    bool is_up = false;
+  };
+
+  asio::awaitable<void> Receive();
+  asio::awaitable<void> SendReports();
+  asio::awaitable<void> Register();
+  asio::awaitable<void> CopyNewerRecords();
+  asio::awaitable<void> ServeRecords();
+  asio::awaitable<absl::Status> CopyFrom(std::string address);
+  void Handle(std::string_view datagram, const std::string& address);
+  void SendAll(const std::string& datagram, Time now);
+  void NoteSilent(Time now);
+  void Learn(const std::string& address);
+  [[nodiscard]] std::string RecordsText() const;
+  [[nodiscard]] std::string NewerPeer() const;
+
+  asio::io_context& io_;
+  Init init_;
+  Udp::socket socket_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::array<char, 64UL << 10U> buffer_{};
+  absl::flat_hash_map<std::string, Peer> peers_;
+  bool leaving_ = false;
+  std::uint64_t sent_bytes_ = 0;
+};
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/gateway/src/store_follower.cc
@@ -0,0 +1,70 @@
+#include "store_follower.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "clock.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+/// Pause after a failed call.
+constexpr milliseconds kRetryPause{250};
+
+}  // namespace
+
+asio::awaitable<absl::Status> StoreFollower::ReadOnce() {
+  ++calls_;
+  if (!complete_read_) {
+    auto page = co_await store_.ReadNewest(options_.topic);
+    if (!page.ok()) {
+      co_return page.status();
+    }
+    complete_read_ = true;
+    facts_.Apply(options_.topic, *page, true, "store", Now());
+    co_return absl::OkStatus();
+  }
+  const std::int64_t from = facts_.offset(options_.topic);
+  auto page = co_await store_.ReadFrom(options_.topic, from, options_.wait);
+  if (absl::IsOutOfRange(page.status())) {
+    complete_read_ = false;
+    log_.Write(Severity::kState, "store_history_gone", {{"topic", options_.name}, {"from", from}});
+    co_return absl::OkStatus();
+  }
+  if (!page.ok()) {
+    co_return page.status();
+  }
+  facts_.Apply(options_.topic, *page, false, "store", Now());
+  co_return absl::OkStatus();
+}
+
+void StoreFollower::Note(const absl::Status& status) {
+  if (status.ok()) {
+    last_answer_ = Now();
+  }
+  if (status.ok() == connected_) {
+    return;
+  }
+  connected_ = status.ok();
+  if (connected_) {
+    facts_.StoreRegained(Now());
+    log_.Write(Severity::kState, "store_regained", {{"topic", options_.name}});
+  } else {
+    log_.Write(Severity::kState, "store_lost",
+               {{"topic", options_.name}, {"reason", status.ToString()}});
+  }
+}
+
+asio::awaitable<void> StoreFollower::Run() {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  for (;;) {
+    const absl::Status status = co_await ReadOnce();
+    Note(status);
+    facts_.DropLapsed(Now());
+    timer.expires_after(status.ok() ? options_.pause : kRetryPause);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/packages/policy/include/lagoonwind/customer_share.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "lagoonwind/base.h"
+
+/// \file
+/// Fair shares of customers over all gateways.
+namespace lagoonwind::policy {
+
+/// Tokens that a customer asked for and was admitted for at one gateway since its start; they only
+/// grow.
+struct CustomerReport {
+  CustomerId customer;
+  std::uint64_t asked_tokens = 0;
+  std::uint64_t admitted_tokens = 0;
+};
+
+/// Sum of what was added within a sliding window. Not thread safe.
+class WindowedSum {
+ public:
+  /// \param window  Length of the window.
+  explicit WindowedSum(Duration window) : bucket_(window / kBuckets) {}
+  void Add(double amount, Time now);
+  [[nodiscard]] double Sum(Time now) const;
+
+ private:
+  static constexpr int kBuckets = 16;
+  [[nodiscard]] std::int64_t BucketOf(Time now) const { return now.time_since_epoch() / bucket_; }
+
+  Duration bucket_;
+  std::array<double, kBuckets> sums_{};
+  std::array<std::int64_t, kBuckets> numbers_{};
+};
+
+/// Compares what customers get with their max-min fair share of what the fleet admits. Load
+/// pattern: one customer sends many times its usual, at one gateway or at all of them. Not thread
+/// safe.
+class CustomerShare {
+ public:
+  explicit CustomerShare(Duration window) : window_(window) {}
+
+  void Asked(CustomerId customer, std::int64_t tokens, Time now);
+  void Admitted(CustomerId customer, std::int64_t tokens, Time now);
+
+  /// What a customer was admitted for in the window as a part of its share; 1 is the whole share,
+  /// 0 a customer that got nothing.
+  [[nodiscard]] double Usage(CustomerId customer, Time now) const;
+
+  /// What this gateway counted.
+  [[nodiscard]] std::vector<CustomerReport> Reports() const;
+  /// Takes in what a peer reports.
+  void PeerReported(Incarnation peer, std::span<const CustomerReport> reports, Time now);
+
+ private:
+  struct Counts {
+    explicit Counts(Duration window) : asked(window), admitted(window) {}
+    WindowedSum asked;
+    WindowedSum admitted;
+    CustomerReport own;
+    absl::flat_hash_map<Incarnation, CustomerReport> peers;
+  };
+
+  Counts& CountsOf(CustomerId customer);
+  [[nodiscard]] double FairLevel(Time now) const;
+
+  Duration window_;
+  absl::flat_hash_map<CustomerId, Counts> customers_;
+  /// Cached share and when it was worked out.
+  mutable double level_ = 0;
+  mutable Time level_at_{};
+};
+
+/// Largest amount that each of `demands` may get so that all together get `capacity` (max-min
+/// fairness by water filling). Infinite if the capacity suffices for all.
+double MaxMinLevel(std::span<const double> demands, double capacity);
+
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/policy/src/dispatch.cc
@@ -0,0 +1,220 @@
+#include "lagoonwind/dispatch.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lagoonwind::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+// Server health.
+
+/// Failures in a row after which a backend server is passed over.
+constexpr int kEjectFailures = 2;
+/// First time for which it is passed over; doubled with each further failure.
+constexpr Duration kFirstEjection = milliseconds(400);
+constexpr Duration kMaxEjection = std::chrono::seconds(3);
+/// Weight of one answer in a backend server's share of failures, and in that of all.
+constexpr double kAnswerWeight = 0.1;
+constexpr double kFleetAnswerWeight = 0.02;
+/// Share of failures beyond that of all from which on it is passed over.
+constexpr double kExcessFailures = 0.35;
+
+// Costs, in seconds of the caller's time.
+
+/// Weight of tokens that are read again although another engine keeps them, against the time to
+/// read them.
+constexpr double kRepeatedReadWeight = 1.0;
+/// Cost of leaving the engine that a prompt part is hashed to while no engine keeps the part.
+constexpr double kStrangerCost = 0.02;
+/// Cost of another availability zone.
+constexpr double kZoneCost = 0.002;
+/// Cost of one running request beside others on an engine, and on a plain service for each slot.
+constexpr double kRunningCost = 0.0005;
+constexpr double kBusySlotCost = 0.05;
+
+// Admission.
+
+/// Part of the objective that may pass before an engine begins to read a prompt.
+constexpr double kWaitShare = 0.62;
+/// The same for callers that return after a refusal, whose objective has passed.
+constexpr double kReturningWaitShare = 0.62;
+/// Use of the share from which on the wait that a customer may cause shrinks, and the use from
+/// which on it has shrunk to its least.
+constexpr double kUsageKnee = 1.0;
+constexpr double kUsageEnd = 2.0;
+/// Least part of the usual wait that is left to a customer beyond its share.
+constexpr double kLeastUsagePart = 0.25;
+/// Engine time for one token of an answer while prompts are read beside it.
+constexpr Duration kTokenTime = std::chrono::microseconds(9000);
+/// Part of an engine's memory that running requests may need beyond shared parts.
+constexpr double kMemoryShare = 0.8;
+/// Requests that may wait or run on an engine, as a multiple of its slots.
+constexpr double kMaxRunningPerSlot = 1.0;
+/// The same for plain services, which queue a few requests.
+constexpr double kMaxBusyPerSlot = 3.0;
+/// Least time that callers are told to stay away.
+constexpr Duration kMinRetryAfter = milliseconds(300);
+
+double AsSeconds(Duration time) { return Seconds(time).count(); }
+Duration AsDuration(double seconds) { return std::chrono::duration_cast<Duration>(Seconds(seconds)); }
+
+/// Part of the usual wait that a customer may cause.
+double UsagePart(double usage) {
+  const double beyond = std::clamp((usage - kUsageKnee) / (kUsageEnd - kUsageKnee), 0.0, 1.0);
+  return 1 - beyond * (1 - kLeastUsagePart);
+}
+
+/// Hash of the parts that a prompt shares with others; the last one is its own.
+std::uint64_t SharedPrefix(const Prompt& prompt) {
+  std::uint64_t prefix = 0;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    prefix = MixHash(prefix, prompt.parts[i].id);
+  }
+  return prefix;
+}
+
+}  // namespace
+
+std::string_view Name(DispatchVerdict verdict) {
+  constexpr std::array<std::string_view, 6> kNames{"send",       "no_server",  "cold",
+                                                   "overloaded", "over_share", "hopeless"};
+  return kNames[static_cast<std::size_t>(verdict)];
+}
+
+void ServerHealth::Succeeded(ServerId server, Time now) {
+  State& state = servers_[server];
+  state.failures = 0;
+  state.ejected_until = now;
+}
+
+void ServerHealth::Failed(ServerId server, Time now) {
+  State& state = servers_[server];
+  ++state.failures;
+  if (state.failures >= kEjectFailures) {
+    const int doublings = std::min(state.failures - kEjectFailures, 4);
+    state.ejected_until = now + std::min(kFirstEjection * (1 << doublings), kMaxEjection);
+  }
+}
+
+void ServerHealth::Answered(ServerId server, bool failed, Time now) {
+  State& state = servers_[server];
+  const double value = failed ? 1 : 0;
+  state.failure_share += kAnswerWeight * (value - state.failure_share);
+  failure_share_ += kFleetAnswerWeight * (value - failure_share_);
+  if (failed && state.failure_share > failure_share_ + kExcessFailures) {
+    state.ejected_until = now + kFirstEjection;
+  }
+}
+
+bool ServerHealth::Ejected(ServerId server, Time now) const {
+  const auto found = servers_.find(server);
+  return found != servers_.end() && now < found->second.ejected_until;
+}
+
+double Dispatch::Cost(const DispatchRequest& request, const Candidate& candidate, int outstanding,
+                      std::uint64_t seed, EngineEstimate& estimate, Time now) const {
+  double cost = candidate.own_zone ? 0 : kZoneCost;
+  if (request.prompt == nullptr) {
+    const double busy = static_cast<double>(outstanding) / std::max(candidate.slots, 1);
+    // Ties go to any of them.
+    const double tie = static_cast<double>(MixHash(candidate.server.value, seed) % 1000) * 1e-6;
+    return cost + busy * kBusySlotCost + tie;
+  }
+  estimate = load_.Expect(candidate.server, *request.prompt, now);
+  cost += AsSeconds(estimate.wait) + AsSeconds(estimate.read);
+  cost += kRunningCost * static_cast<double>(estimate.running);
+  cost += kRepeatedReadWeight * static_cast<double>(estimate.repeated_tokens) /
+          load_.reading_rate();
+  const std::uint64_t rank = MixHash(SharedPrefix(*request.prompt), candidate.server.value);
+  cost += kStrangerCost * static_cast<double>(rank % 1000) / 1000;
+  return cost;
+}
+
+Dispatch::Best Dispatch::Cheapest(const DispatchRequest& request,
+                                  std::span<const Candidate> candidates,
+                                  std::span<const int> outstanding, std::uint64_t seed,
+                                  bool with_ejected, Time now) const {
+  Best best;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate& candidate = candidates[i];
+    if (!with_ejected && health_.Ejected(candidate.server, now)) {
+      continue;
+    }
+    if (candidate.cold_rate > 0 &&
+        cold_.Delay(candidate.server, candidate.cold_rate, now) > Duration{0}) {
+      continue;
+    }
+    EngineEstimate estimate;
+    const double cost = Cost(request, candidate, outstanding[i], seed, estimate, now);
+    if (best.candidate == nullptr || cost < best.cost) {
+      best = {.candidate = &candidate, .estimate = estimate, .cost = cost};
+    }
+  }
+  return best;
+}
+
+void Dispatch::Admit(const DispatchRequest& request, const Candidate& candidate,
+                     DispatchDecision& decision, Time now) const {
+  if (request.prompt == nullptr) {
+    decision.verdict = DispatchVerdict::kSend;
+    return;
+  }
+  const EngineEstimate& estimate = decision.estimate;
+  const Duration whole =
+      estimate.wait + estimate.read + kTokenTime * request.prompt->max_output_tokens;
+  if (whole > request.time_left) {
+    decision.verdict = DispatchVerdict::kHopeless;
+    decision.retry_after = estimate.wait;
+    return;
+  }
+  if (request.repeated) {
+    decision.verdict = DispatchVerdict::kSend;
+    return;
+  }
+  const bool returning = request.time_left < request.timeout - request.objective / 2;
+  const double part = returning ? kReturningWaitShare : kWaitShare;
+  decision.usage = share_.Usage(request.customer, now);
+  const double most_wait = AsSeconds(request.objective) * part;
+  const double wait = AsSeconds(estimate.wait);
+  const bool full =
+      static_cast<double>(estimate.running) >= kMaxRunningPerSlot * candidate.slots ||
+      static_cast<double>(estimate.running_tokens) >
+          kMemoryShare * static_cast<double>(candidate.memory_tokens);
+  if (wait > most_wait || full) {
+    decision.verdict = DispatchVerdict::kOverloaded;
+  } else if (wait > most_wait * UsagePart(decision.usage)) {
+    decision.verdict = DispatchVerdict::kOverShare;
+  } else {
+    decision.verdict = DispatchVerdict::kSend;
+  }
+  decision.retry_after = AsDuration(std::max(wait - most_wait / 2, 0.0));
+}
+
+DispatchDecision Dispatch::Decide(const DispatchRequest& request,
+                                  std::span<const Candidate> candidates,
+                                  std::span<const int> outstanding, std::uint64_t seed,
+                                  Time now) const {
+  DispatchDecision decision;
+  decision.retry_after = kMinRetryAfter;
+  if (candidates.empty()) {
+    return decision;
+  }
+  Best best = Cheapest(request, candidates, outstanding, seed, false, now);
+  if (best.candidate == nullptr) {
+    best = Cheapest(request, candidates, outstanding, seed, true, now);
+  }
+  if (best.candidate == nullptr) {
+    decision.verdict = DispatchVerdict::kCold;
+    return decision;
+  }
+  decision.server = best.candidate->server;
+  decision.estimate = best.estimate;
+  Admit(request, *best.candidate, decision, now);
+  decision.retry_after = std::max(decision.retry_after, kMinRetryAfter);
+  return decision;
+}
+
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/packages/policy/src/engine_load.cc
@@ -0,0 +1,236 @@
+#include "lagoonwind/engine_load.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace lagoonwind::policy {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// Time that an idle engine takes to the first event beside reading; an engine's first step and the
+/// way there and back.
+constexpr Duration kFirstEventOverhead = milliseconds(60);
+/// Tokens to read below which the overhead outweighs the reading, so that no rate is learnt.
+constexpr std::int64_t kMinRateSampleTokens = 6000;
+/// Weight of one sample of the reading rate.
+constexpr double kRateSampleWeight = 0.03;
+/// Rates beyond this factor of the present estimate are cut, as they come from other causes.
+constexpr double kMaxRateStep = 1.6;
+/// Time for which a sent part is remembered to be reported.
+constexpr Duration kPartReportTime = std::chrono::seconds(1);
+/// Kept parts of one engine from which on outdated ones are looked for.
+constexpr std::size_t kPartSweepSize = 4096;
+/// A queue that is overdue is taken to need at least this part of the time it is late by.
+constexpr double kOverdueShare = 0.5;
+
+template <class Predicate>
+void EraseIf(absl::flat_hash_map<std::uint64_t, Time>& parts, Predicate predicate) {
+  for (auto it = parts.begin(); it != parts.end();) {
+    if (predicate(it->second)) {
+      parts.erase(it++);
+    } else {
+      ++it;
+    }
+  }
+}
+
+}  // namespace
+
+Duration EngineLoad::ReadingTime(std::int64_t tokens) const {
+  return duration_cast<Duration>(
+      std::chrono::duration<double>(static_cast<double>(tokens) / reading_rate_));
+}
+
+void EngineLoad::AddUnread(Engine& engine, std::uint64_t tokens, Time now) const {
+  engine.sent_tokens += tokens;
+  engine.read_until =
+      std::max(engine.read_until, now) + ReadingTime(static_cast<std::int64_t>(tokens));
+}
+
+bool EngineLoad::Kept(const Engine& engine, std::uint64_t part, Time now) const {
+  const auto found = engine.parts.find(part);
+  return found != engine.parts.end() && now - found->second < init_.part_lifetime;
+}
+
+EngineLoad::Unread EngineLoad::UnreadOf(const Engine* engine, const Prompt& prompt,
+                                        Time now) const {
+  Unread unread;
+  std::int64_t listed = 0;
+  std::uint64_t prefix = 0;
+  bool kept = engine != nullptr;
+  for (const PromptPart& part : prompt.parts) {
+    prefix = MixHash(prefix, part.id);
+    listed += part.tokens;
+    kept = kept && Kept(*engine, prefix, now);
+    if (kept) {
+      continue;
+    }
+    unread.tokens += part.tokens;
+    const auto known = known_parts_.find(prefix);
+    if (known != known_parts_.end() && now - known->second < init_.part_lifetime) {
+      unread.repeated += part.tokens;
+    }
+  }
+  unread.tokens += std::max<std::int64_t>(prompt.input_tokens - listed, 0);
+  return unread;
+}
+
+EngineEstimate EngineLoad::Expect(ServerId server, const Prompt& prompt, Time now) const {
+  const auto found = engines_.find(server);
+  const Engine* engine = found == engines_.end() ? nullptr : &found->second;
+  const Unread unread = UnreadOf(engine, prompt, now);
+  EngineEstimate estimate{.read = ReadingTime(unread.tokens),
+                          .unread_tokens = unread.tokens,
+                          .repeated_tokens = unread.repeated};
+  if (engine == nullptr) {
+    return estimate;
+  }
+  estimate.wait = std::max(engine->read_until - now, Duration{0});
+  const auto waiting = std::ranges::find(engine->running, false, &Running::began);
+  if (waiting != engine->running.end()) {
+    const Duration expected = ReadingTime(waiting->ahead + waiting->unread) + kFirstEventOverhead;
+    const Duration late = now - waiting->sent - expected;
+    estimate.wait = std::max(
+        estimate.wait, duration_cast<Duration>(std::max(late, Duration{0}) * kOverdueShare));
+  }
+  estimate.running = static_cast<std::int64_t>(engine->running.size());
+  estimate.running_tokens = engine->own_memory;
+  for (const auto& [peer, state] : engine->peers) {
+    if (now - state.heard < init_.peer_timeout) {
+      estimate.running += state.last.running;
+      estimate.running_tokens += state.last.running_tokens;
+    }
+  }
+  return estimate;
+}
+
+void EngineLoad::UsePart(Engine& engine, std::uint64_t part, Time now) {
+  engine.parts[part] = now;
+  known_parts_[part] = now;
+  const auto outdated = [&](Time used) { return now - used >= init_.part_lifetime; };
+  if (engine.parts.size() > kPartSweepSize) {
+    EraseIf(engine.parts, outdated);
+  }
+  if (known_parts_.size() > 4 * kPartSweepSize) {
+    EraseIf(known_parts_, outdated);
+  }
+}
+
+EngineLoad::Sequence EngineLoad::Sent(ServerId server, const Prompt& prompt, Time now) {
+  Engine& engine = engines_[server];
+  const std::int64_t unread = UnreadOf(&engine, prompt, now).tokens;
+  const Duration wait = std::max(engine.read_until - now, Duration{0});
+  Running request{.sequence = ++last_sequence_,
+                  .sent = now,
+                  .unread = unread,
+                  .ahead = static_cast<std::int64_t>(
+                      std::chrono::duration<double>(wait).count() * reading_rate_)};
+  AddUnread(engine, static_cast<std::uint64_t>(unread), now);
+  request.position = engine.sent_tokens;
+  request.memory = unread + prompt.max_output_tokens;
+  engine.own_tokens += static_cast<std::uint64_t>(unread);
+  engine.own_memory += request.memory;
+  engine.running.push_back(request);
+  std::uint64_t prefix = 0;
+  for (const PromptPart& part : prompt.parts) {
+    prefix = MixHash(prefix, part.id);
+    UsePart(engine, prefix, now);
+    sent_parts_.push_back({.at = now, .part = {.server = server, .part = prefix}});
+  }
+  while (!sent_parts_.empty() && now - sent_parts_.front().at > kPartReportTime) {
+    sent_parts_.pop_front();
+  }
+  return request.sequence;
+}
+
+void EngineLoad::LearnRate(const Running& request, Time now) {
+  const std::int64_t tokens = request.ahead + request.unread;
+  const Duration reading = now - request.sent - kFirstEventOverhead;
+  if (tokens < kMinRateSampleTokens || reading <= Duration{0}) {
+    return;
+  }
+  const double seen =
+      static_cast<double>(tokens) / std::chrono::duration<double>(reading).count();
+  const double sample =
+      std::clamp(seen, reading_rate_ / kMaxRateStep, reading_rate_ * kMaxRateStep);
+  reading_rate_ += kRateSampleWeight * (sample - reading_rate_);
+}
+
+void EngineLoad::Began(ServerId server, Sequence request, Time now) {
+  const auto found = engines_.find(server);
+  if (found == engines_.end()) {
+    return;
+  }
+  Engine& engine = found->second;
+  const auto at = std::ranges::find(engine.running, request, &Running::sequence);
+  if (at == engine.running.end() || at->began) {
+    return;
+  }
+  at->began = true;
+  LearnRate(*at, now);
+  const auto later = static_cast<std::int64_t>(engine.sent_tokens - at->position);
+  engine.read_until = now + ReadingTime(later);
+}
+
+void EngineLoad::Ended(ServerId server, Sequence request, Time now) {
+  const auto found = engines_.find(server);
+  if (found == engines_.end()) {
+    return;
+  }
+  Engine& engine = found->second;
+  const auto at = std::ranges::find(engine.running, request, &Running::sequence);
+  if (at == engine.running.end()) {
+    return;
+  }
+  if (!at->began) {
+    engine.read_until = std::max(now, engine.read_until - ReadingTime(at->unread));
+  }
+  engine.own_memory -= at->memory;
+  engine.running.erase(at);
+}
+
+std::vector<EngineReport> EngineLoad::Reports() const {
+  std::vector<EngineReport> reports;
+  reports.reserve(engines_.size());
+  for (const auto& [server, engine] : engines_) {
+    if (engine.own_tokens > 0 || !engine.running.empty()) {
+      reports.push_back({.server = server,
+                         .read_tokens = engine.own_tokens,
+                         .running = static_cast<std::int64_t>(engine.running.size()),
+                         .running_tokens = engine.own_memory});
+    }
+  }
+  return reports;
+}
+
+std::vector<PartReport> EngineLoad::PartsSince(Time since) const {
+  std::vector<PartReport> parts;
+  for (const SentPart& sent : sent_parts_) {
+    if (sent.at >= since) {
+      parts.push_back(sent.part);
+    }
+  }
+  return parts;
+}
+
+void EngineLoad::PeerReported(Incarnation peer, std::span<const EngineReport> engines,
+                              std::span<const PartReport> parts, Time now) {
+  for (const EngineReport& report : engines) {
+    Engine& engine = engines_[report.server];
+    const auto [slot, added] = engine.peers.try_emplace(peer);
+    PeerState& state = slot->second;
+    // The first report of a peer counts what engines have long read.
+    if (!added && report.read_tokens > state.last.read_tokens) {
+      AddUnread(engine, report.read_tokens - state.last.read_tokens, now);
+    }
+    state.last = report;
+    state.heard = now;
+  }
+  for (const PartReport& part : parts) {
+    UsePart(engines_[part.server], part.part, now);
+  }
+}
+
+}  // namespace lagoonwind::policy
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -5130,4 +5130,939 @@
   out << ")";
 }
 
+
+EngineLoadReport::~EngineLoadReport() noexcept {
+}
+
+
+void EngineLoadReport::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void EngineLoadReport::__set_read_tokens(const int64_t val) {
+  this->read_tokens = val;
+}
+
+void EngineLoadReport::__set_running(const int64_t val) {
+  this->running = val;
+}
+
+void EngineLoadReport::__set_running_tokens(const int64_t val) {
+  this->running_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineLoadReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineLoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->read_tokens);
+          this->__isset.read_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->running_tokens);
+          this->__isset.running_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineLoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineLoadReport");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("read_tokens", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->read_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running_tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->running_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineLoadReport &a, EngineLoadReport &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.read_tokens, b.read_tokens);
+  swap(a.running, b.running);
+  swap(a.running_tokens, b.running_tokens);
+  swap(a.__isset, b.__isset);
+}
+
+EngineLoadReport::EngineLoadReport(const EngineLoadReport& other146) noexcept {
+  server = other146.server;
+  read_tokens = other146.read_tokens;
+  running = other146.running;
+  running_tokens = other146.running_tokens;
+  __isset = other146.__isset;
+}
+EngineLoadReport::EngineLoadReport(EngineLoadReport&& other147) noexcept {
+  server = other147.server;
+  read_tokens = other147.read_tokens;
+  running = other147.running;
+  running_tokens = other147.running_tokens;
+  __isset = other147.__isset;
+}
+EngineLoadReport& EngineLoadReport::operator=(const EngineLoadReport& other148) noexcept {
+  server = other148.server;
+  read_tokens = other148.read_tokens;
+  running = other148.running;
+  running_tokens = other148.running_tokens;
+  __isset = other148.__isset;
+  return *this;
+}
+EngineLoadReport& EngineLoadReport::operator=(EngineLoadReport&& other149) noexcept {
+  server = other149.server;
+  read_tokens = other149.read_tokens;
+  running = other149.running;
+  running_tokens = other149.running_tokens;
+  __isset = other149.__isset;
+  return *this;
+}
+void EngineLoadReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineLoadReport(";
+  out << "server=" << to_string(server);
+  out << ", " << "read_tokens=" << to_string(read_tokens);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "running_tokens=" << to_string(running_tokens);
+  out << ")";
+}
+
+
+PromptPartReport::~PromptPartReport() noexcept {
+}
+
+
+void PromptPartReport::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void PromptPartReport::__set_part(const int64_t val) {
+  this->part = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptPartReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptPartReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptPartReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptPartReport");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptPartReport &a, PromptPartReport &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.part, b.part);
+  swap(a.__isset, b.__isset);
+}
+
+PromptPartReport::PromptPartReport(const PromptPartReport& other150) noexcept {
+  server = other150.server;
+  part = other150.part;
+  __isset = other150.__isset;
+}
+PromptPartReport::PromptPartReport(PromptPartReport&& other151) noexcept {
+  server = other151.server;
+  part = other151.part;
+  __isset = other151.__isset;
+}
+PromptPartReport& PromptPartReport::operator=(const PromptPartReport& other152) noexcept {
+  server = other152.server;
+  part = other152.part;
+  __isset = other152.__isset;
+  return *this;
+}
+PromptPartReport& PromptPartReport::operator=(PromptPartReport&& other153) noexcept {
+  server = other153.server;
+  part = other153.part;
+  __isset = other153.__isset;
+  return *this;
+}
+void PromptPartReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptPartReport(";
+  out << "server=" << to_string(server);
+  out << ", " << "part=" << to_string(part);
+  out << ")";
+}
+
+
+CustomerShareReport::~CustomerShareReport() noexcept {
+}
+
+
+void CustomerShareReport::__set_customer(const int64_t val) {
+  this->customer = val;
+}
+
+void CustomerShareReport::__set_asked_tokens(const int64_t val) {
+  this->asked_tokens = val;
+}
+
+void CustomerShareReport::__set_admitted_tokens(const int64_t val) {
+  this->admitted_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const CustomerShareReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CustomerShareReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->asked_tokens);
+          this->__isset.asked_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->admitted_tokens);
+          this->__isset.admitted_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CustomerShareReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CustomerShareReport");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked_tokens", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->asked_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted_tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->admitted_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CustomerShareReport &a, CustomerShareReport &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.asked_tokens, b.asked_tokens);
+  swap(a.admitted_tokens, b.admitted_tokens);
+  swap(a.__isset, b.__isset);
+}
+
+CustomerShareReport::CustomerShareReport(const CustomerShareReport& other154) noexcept {
+  customer = other154.customer;
+  asked_tokens = other154.asked_tokens;
+  admitted_tokens = other154.admitted_tokens;
+  __isset = other154.__isset;
+}
+CustomerShareReport::CustomerShareReport(CustomerShareReport&& other155) noexcept {
+  customer = other155.customer;
+  asked_tokens = other155.asked_tokens;
+  admitted_tokens = other155.admitted_tokens;
+  __isset = other155.__isset;
+}
+CustomerShareReport& CustomerShareReport::operator=(const CustomerShareReport& other156) noexcept {
+  customer = other156.customer;
+  asked_tokens = other156.asked_tokens;
+  admitted_tokens = other156.admitted_tokens;
+  __isset = other156.__isset;
+  return *this;
+}
+CustomerShareReport& CustomerShareReport::operator=(CustomerShareReport&& other157) noexcept {
+  customer = other157.customer;
+  asked_tokens = other157.asked_tokens;
+  admitted_tokens = other157.admitted_tokens;
+  __isset = other157.__isset;
+  return *this;
+}
+void CustomerShareReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CustomerShareReport(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "asked_tokens=" << to_string(asked_tokens);
+  out << ", " << "admitted_tokens=" << to_string(admitted_tokens);
+  out << ")";
+}
+
+
+CrashReport::~CrashReport() noexcept {
+}
+
+
+void CrashReport::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void CrashReport::__set_server(const int64_t val) {
+  this->server = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReport");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReport &a, CrashReport &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.server, b.server);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReport::CrashReport(const CrashReport& other158) noexcept {
+  digest = other158.digest;
+  server = other158.server;
+  __isset = other158.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other159) noexcept {
+  digest = other159.digest;
+  server = other159.server;
+  __isset = other159.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other160) noexcept {
+  digest = other160.digest;
+  server = other160.server;
+  __isset = other160.__isset;
+  return *this;
+}
+CrashReport& CrashReport::operator=(CrashReport&& other161) noexcept {
+  digest = other161.digest;
+  server = other161.server;
+  __isset = other161.__isset;
+  return *this;
+}
+void CrashReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReport(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "server=" << to_string(server);
+  out << ")";
+}
+
+
+GatewayReport::~GatewayReport() noexcept {
+}
+
+
+void GatewayReport::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void GatewayReport::__set_operator_offset(const int64_t val) {
+  this->operator_offset = val;
+}
+
+void GatewayReport::__set_servers_offset(const int64_t val) {
+  this->servers_offset = val;
+}
+
+void GatewayReport::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void GatewayReport::__set_known_peers(const std::vector<std::string> & val) {
+  this->known_peers = val;
+}
+
+void GatewayReport::__set_engines(const std::vector<EngineLoadReport> & val) {
+  this->engines = val;
+}
+
+void GatewayReport::__set_parts(const std::vector<PromptPartReport> & val) {
+  this->parts = val;
+}
+
+void GatewayReport::__set_customers(const std::vector<CustomerShareReport> & val) {
+  this->customers = val;
+}
+
+void GatewayReport::__set_crashes(const std::vector<CrashReport> & val) {
+  this->crashes = val;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_offset);
+          this->__isset.operator_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servers_offset);
+          this->__isset.servers_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known_peers.clear();
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->known_peers.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
+            {
+              xfer += iprot->readString(this->known_peers[_i166]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known_peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->engines.clear();
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->engines.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
+            {
+              xfer += this->engines[_i171].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.engines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->parts.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
+            {
+              xfer += this->parts[_i176].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->customers.clear();
+            uint32_t _size177;
+            ::apache::thrift::protocol::TType _etype180;
+            xfer += iprot->readListBegin(_etype180, _size177);
+            this->customers.resize(_size177);
+            uint32_t _i181;
+            for (_i181 = 0; _i181 < _size177; ++_i181)
+            {
+              xfer += this->customers[_i181].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.customers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->crashes.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
+            {
+              xfer += this->crashes[_i186].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GatewayReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayReport");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operator_offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->operator_offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers_offset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->servers_offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known_peers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known_peers.size()));
+    std::vector<std::string> ::const_iterator _iter187;
+    for (_iter187 = this->known_peers.begin(); _iter187 != this->known_peers.end(); ++_iter187)
+    {
+      xfer += oprot->writeString((*_iter187));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
+    std::vector<EngineLoadReport> ::const_iterator _iter188;
+    for (_iter188 = this->engines.begin(); _iter188 != this->engines.end(); ++_iter188)
+    {
+      xfer += (*_iter188).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<PromptPartReport> ::const_iterator _iter189;
+    for (_iter189 = this->parts.begin(); _iter189 != this->parts.end(); ++_iter189)
+    {
+      xfer += (*_iter189).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
+    std::vector<CustomerShareReport> ::const_iterator _iter190;
+    for (_iter190 = this->customers.begin(); _iter190 != this->customers.end(); ++_iter190)
+    {
+      xfer += (*_iter190).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashReport> ::const_iterator _iter191;
+    for (_iter191 = this->crashes.begin(); _iter191 != this->crashes.end(); ++_iter191)
+    {
+      xfer += (*_iter191).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayReport &a, GatewayReport &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.operator_offset, b.operator_offset);
+  swap(a.servers_offset, b.servers_offset);
+  swap(a.leaving, b.leaving);
+  swap(a.known_peers, b.known_peers);
+  swap(a.engines, b.engines);
+  swap(a.parts, b.parts);
+  swap(a.customers, b.customers);
+  swap(a.crashes, b.crashes);
+  swap(a.__isset, b.__isset);
+}
+
+GatewayReport::GatewayReport(const GatewayReport& other192) {
+  incarnation = other192.incarnation;
+  operator_offset = other192.operator_offset;
+  servers_offset = other192.servers_offset;
+  leaving = other192.leaving;
+  known_peers = other192.known_peers;
+  engines = other192.engines;
+  parts = other192.parts;
+  customers = other192.customers;
+  crashes = other192.crashes;
+  __isset = other192.__isset;
+}
+GatewayReport::GatewayReport(GatewayReport&& other193) noexcept {
+  incarnation = other193.incarnation;
+  operator_offset = other193.operator_offset;
+  servers_offset = other193.servers_offset;
+  leaving = other193.leaving;
+  known_peers = std::move(other193.known_peers);
+  engines = std::move(other193.engines);
+  parts = std::move(other193.parts);
+  customers = std::move(other193.customers);
+  crashes = std::move(other193.crashes);
+  __isset = other193.__isset;
+}
+GatewayReport& GatewayReport::operator=(const GatewayReport& other194) {
+  incarnation = other194.incarnation;
+  operator_offset = other194.operator_offset;
+  servers_offset = other194.servers_offset;
+  leaving = other194.leaving;
+  known_peers = other194.known_peers;
+  engines = other194.engines;
+  parts = other194.parts;
+  customers = other194.customers;
+  crashes = other194.crashes;
+  __isset = other194.__isset;
+  return *this;
+}
+GatewayReport& GatewayReport::operator=(GatewayReport&& other195) noexcept {
+  incarnation = other195.incarnation;
+  operator_offset = other195.operator_offset;
+  servers_offset = other195.servers_offset;
+  leaving = other195.leaving;
+  known_peers = std::move(other195.known_peers);
+  engines = std::move(other195.engines);
+  parts = std::move(other195.parts);
+  customers = std::move(other195.customers);
+  crashes = std::move(other195.crashes);
+  __isset = other195.__isset;
+  return *this;
+}
+void GatewayReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayReport(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "operator_offset=" << to_string(operator_offset);
+  out << ", " << "servers_offset=" << to_string(servers_offset);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "known_peers=" << to_string(known_peers);
+  out << ", " << "engines=" << to_string(engines);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "customers=" << to_string(customers);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ")";
+}
+
 }}} // namespace
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -79,6 +79,16 @@
 
 class Message;
 
+class EngineLoadReport;
+
+class PromptPartReport;
+
+class CustomerShareReport;
+
+class CrashReport;
+
+class GatewayReport;
+
 typedef struct _Attempt__isset {
   _Attempt__isset() : entry_incarnation(false), number(false), attempt(false) {}
   bool entry_incarnation :1;
@@ -2040,6 +2050,331 @@
 
 std::ostream& operator<<(std::ostream& out, const Message& obj);
 
+typedef struct _EngineLoadReport__isset {
+  _EngineLoadReport__isset() : server(false), read_tokens(false), running(false), running_tokens(false) {}
+  bool server :1;
+  bool read_tokens :1;
+  bool running :1;
+  bool running_tokens :1;
+} _EngineLoadReport__isset;
+
+class EngineLoadReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineLoadReport(const EngineLoadReport&) noexcept;
+  EngineLoadReport(EngineLoadReport&&) noexcept;
+  EngineLoadReport& operator=(const EngineLoadReport&) noexcept;
+  EngineLoadReport& operator=(EngineLoadReport&&) noexcept;
+  EngineLoadReport() noexcept
+                   : server(0),
+                     read_tokens(0),
+                     running(0),
+                     running_tokens(0) {
+  }
+
+  virtual ~EngineLoadReport() noexcept;
+  int64_t server;
+  int64_t read_tokens;
+  int64_t running;
+  int64_t running_tokens;
+
+  _EngineLoadReport__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_read_tokens(const int64_t val);
+
+  void __set_running(const int64_t val);
+
+  void __set_running_tokens(const int64_t val);
+
+  bool operator == (const EngineLoadReport & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(read_tokens == rhs.read_tokens))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(running_tokens == rhs.running_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineLoadReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineLoadReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineLoadReport &a, EngineLoadReport &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineLoadReport& obj);
+
+typedef struct _PromptPartReport__isset {
+  _PromptPartReport__isset() : server(false), part(false) {}
+  bool server :1;
+  bool part :1;
+} _PromptPartReport__isset;
+
+class PromptPartReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptPartReport(const PromptPartReport&) noexcept;
+  PromptPartReport(PromptPartReport&&) noexcept;
+  PromptPartReport& operator=(const PromptPartReport&) noexcept;
+  PromptPartReport& operator=(PromptPartReport&&) noexcept;
+  PromptPartReport() noexcept
+                   : server(0),
+                     part(0) {
+  }
+
+  virtual ~PromptPartReport() noexcept;
+  int64_t server;
+  int64_t part;
+
+  _PromptPartReport__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_part(const int64_t val);
+
+  bool operator == (const PromptPartReport & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(part == rhs.part))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptPartReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptPartReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptPartReport &a, PromptPartReport &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptPartReport& obj);
+
+typedef struct _CustomerShareReport__isset {
+  _CustomerShareReport__isset() : customer(false), asked_tokens(false), admitted_tokens(false) {}
+  bool customer :1;
+  bool asked_tokens :1;
+  bool admitted_tokens :1;
+} _CustomerShareReport__isset;
+
+class CustomerShareReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CustomerShareReport(const CustomerShareReport&) noexcept;
+  CustomerShareReport(CustomerShareReport&&) noexcept;
+  CustomerShareReport& operator=(const CustomerShareReport&) noexcept;
+  CustomerShareReport& operator=(CustomerShareReport&&) noexcept;
+  CustomerShareReport() noexcept
+                      : customer(0),
+                        asked_tokens(0),
+                        admitted_tokens(0) {
+  }
+
+  virtual ~CustomerShareReport() noexcept;
+  int64_t customer;
+  int64_t asked_tokens;
+  int64_t admitted_tokens;
+
+  _CustomerShareReport__isset __isset;
+
+  void __set_customer(const int64_t val);
+
+  void __set_asked_tokens(const int64_t val);
+
+  void __set_admitted_tokens(const int64_t val);
+
+  bool operator == (const CustomerShareReport & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(asked_tokens == rhs.asked_tokens))
+      return false;
+    if (!(admitted_tokens == rhs.admitted_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const CustomerShareReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CustomerShareReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CustomerShareReport &a, CustomerShareReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CustomerShareReport& obj);
+
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : digest(false), server(false) {}
+  bool digest :1;
+  bool server :1;
+} _CrashReport__isset;
+
+class CrashReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReport(const CrashReport&) noexcept;
+  CrashReport(CrashReport&&) noexcept;
+  CrashReport& operator=(const CrashReport&) noexcept;
+  CrashReport& operator=(CrashReport&&) noexcept;
+  CrashReport() noexcept
+              : digest(0),
+                server(0) {
+  }
+
+  virtual ~CrashReport() noexcept;
+  int64_t digest;
+  int64_t server;
+
+  _CrashReport__isset __isset;
+
+  void __set_digest(const int64_t val);
+
+  void __set_server(const int64_t val);
+
+  bool operator == (const CrashReport & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReport &a, CrashReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
+
+typedef struct _GatewayReport__isset {
+  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false) {}
+  bool incarnation :1;
+  bool operator_offset :1;
+  bool servers_offset :1;
+  bool leaving :1;
+  bool known_peers :1;
+  bool engines :1;
+  bool parts :1;
+  bool customers :1;
+  bool crashes :1;
+} _GatewayReport__isset;
+
+class GatewayReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayReport(const GatewayReport&);
+  GatewayReport(GatewayReport&&) noexcept;
+  GatewayReport& operator=(const GatewayReport&);
+  GatewayReport& operator=(GatewayReport&&) noexcept;
+  GatewayReport() noexcept
+                : incarnation(0),
+                  operator_offset(0),
+                  servers_offset(0),
+                  leaving(0) {
+  }
+
+  virtual ~GatewayReport() noexcept;
+  int64_t incarnation;
+  int64_t operator_offset;
+  int64_t servers_offset;
+  bool leaving;
+  std::vector<std::string>  known_peers;
+  std::vector<EngineLoadReport>  engines;
+  std::vector<PromptPartReport>  parts;
+  std::vector<CustomerShareReport>  customers;
+  std::vector<CrashReport>  crashes;
+
+  _GatewayReport__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_operator_offset(const int64_t val);
+
+  void __set_servers_offset(const int64_t val);
+
+  void __set_leaving(const bool val);
+
+  void __set_known_peers(const std::vector<std::string> & val);
+
+  void __set_engines(const std::vector<EngineLoadReport> & val);
+
+  void __set_parts(const std::vector<PromptPartReport> & val);
+
+  void __set_customers(const std::vector<CustomerShareReport> & val);
+
+  void __set_crashes(const std::vector<CrashReport> & val);
+
+  bool operator == (const GatewayReport & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(operator_offset == rhs.operator_offset))
+      return false;
+    if (!(servers_offset == rhs.servers_offset))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(known_peers == rhs.known_peers))
+      return false;
+    if (!(engines == rhs.engines))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(customers == rhs.customers))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayReport &a, GatewayReport &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayReport& obj);
+
 }}} // namespace
 
 #endif
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -233,3 +233,43 @@
   21: LedgerTotals ledger_totals
   30: Suspects suspects
 }
+
+// What one gateway has sent to one engine since its start.
+struct EngineLoadReport {
+  1: i64 server
+  2: i64 read_tokens
+  3: i64 running
+  4: i64 running_tokens
+}
+
+// A prompt part that a gateway has lately sent to an engine.
+struct PromptPartReport {
+  1: i64 server
+  2: i64 part
+}
+
+// Tokens that a customer asked for and got at one gateway since its start.
+struct CustomerShareReport {
+  1: i64 customer
+  2: i64 asked_tokens
+  3: i64 admitted_tokens
+}
+
+// A request whose run ended with the crash of its backend server.
+struct CrashReport {
+  1: i64 digest
+  2: i64 server
+}
+
+// Datagram that gateways send each other.
+struct GatewayReport {
+  1: i64 incarnation
+  2: i64 operator_offset
+  3: i64 servers_offset
+  4: bool leaving
+  5: list<string> known_peers
+  6: list<EngineLoadReport> engines
+  7: list<PromptPartReport> parts
+  8: list<CustomerShareReport> customers
+  9: list<CrashReport> crashes
+}
--- /dev/null
+++ b/packages/wire/src/gateway_report.cc
@@ -0,0 +1,135 @@
+#include "lagoonwind/gateway_report.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+
+#include "lagoonwind_types.h"
+
+namespace lagoonwind::wire {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+/// Largest report that is decoded, in bytes; a datagram holds no more.
+constexpr std::int32_t kMaxReportBytes = 64 << 10;
+
+std::int64_t Signed(std::uint64_t value) { return static_cast<std::int64_t>(value); }
+std::uint64_t Unsigned(std::int64_t value) { return static_cast<std::uint64_t>(value); }
+
+gen::EngineLoadReport ToWire(const policy::EngineReport& report) {
+  gen::EngineLoadReport out;
+  out.server = Signed(report.server.value);
+  out.read_tokens = Signed(report.read_tokens);
+  out.running = report.running;
+  out.running_tokens = report.running_tokens;
+  return out;
+}
+
+policy::EngineReport FromWire(const gen::EngineLoadReport& report) {
+  return {.server = {Unsigned(report.server)},
+          .read_tokens = Unsigned(report.read_tokens),
+          .running = report.running,
+          .running_tokens = report.running_tokens};
+}
+
+gen::PromptPartReport ToWire(const policy::PartReport& report) {
+  gen::PromptPartReport out;
+  out.server = Signed(report.server.value);
+  out.part = Signed(report.part);
+  return out;
+}
+
+policy::PartReport FromWire(const gen::PromptPartReport& report) {
+  return {.server = {Unsigned(report.server)}, .part = Unsigned(report.part)};
+}
+
+gen::CustomerShareReport ToWire(const policy::CustomerReport& report) {
+  gen::CustomerShareReport out;
+  out.customer = Signed(report.customer.value);
+  out.asked_tokens = Signed(report.asked_tokens);
+  out.admitted_tokens = Signed(report.admitted_tokens);
+  return out;
+}
+
+policy::CustomerReport FromWire(const gen::CustomerShareReport& report) {
+  return {.customer = {Unsigned(report.customer)},
+          .asked_tokens = Unsigned(report.asked_tokens),
+          .admitted_tokens = Unsigned(report.admitted_tokens)};
+}
+
+gen::CrashReport ToWire(const policy::CrashSuspects::Crash& crash) {
+  gen::CrashReport out;
+  out.digest = Signed(crash.digest.value);
+  out.server = Signed(crash.server.value);
+  return out;
+}
+
+policy::CrashSuspects::Crash FromWire(const gen::CrashReport& crash) {
+  return {.digest = {Unsigned(crash.digest)}, .server = {Unsigned(crash.server)}};
+}
+
+template <class Out, class In, class Function>
+std::vector<Out> Map(const std::vector<In>& in, Function function) {
+  std::vector<Out> out;
+  out.reserve(in.size());
+  std::ranges::transform(in, std::back_inserter(out), function);
+  return out;
+}
+
+template <class Out, class In>
+std::vector<Out> ListToWire(const std::vector<In>& in) {
+  return Map<Out>(in, [](const In& item) { return ToWire(item); });
+}
+
+template <class Out, class In>
+std::vector<Out> ListFromWire(const std::vector<In>& in) {
+  return Map<Out>(in, [](const In& item) { return FromWire(item); });
+}
+
+}  // namespace
+
+std::string EncodeGatewayReport(const GatewayReport& report) {
+  gen::GatewayReport out;
+  out.incarnation = Signed(report.sender.value);
+  out.operator_offset = report.operator_offset;
+  out.servers_offset = report.servers_offset;
+  out.leaving = report.leaving;
+  out.known_peers = report.known_peers;
+  out.engines = ListToWire<gen::EngineLoadReport>(report.engines);
+  out.parts = ListToWire<gen::PromptPartReport>(report.parts);
+  out.customers = ListToWire<gen::CustomerShareReport>(report.customers);
+  out.crashes = ListToWire<gen::CrashReport>(report.crashes);
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  out.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+absl::StatusOr<GatewayReport> DecodeGatewayReport(std::string_view bytes) {
+  auto copy = std::string(bytes);
+  auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()),
+                                                static_cast<std::uint32_t>(copy.size()));
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer, kMaxReportBytes, kMaxReportBytes);
+  gen::GatewayReport in;
+  try {
+    in.read(&protocol);
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+  return GatewayReport{.sender = {Unsigned(in.incarnation)},
+                       .operator_offset = in.operator_offset,
+                       .servers_offset = in.servers_offset,
+                       .leaving = in.leaving,
+                       .known_peers = std::move(in.known_peers),
+                       .engines = ListFromWire<policy::EngineReport>(in.engines),
+                       .parts = ListFromWire<policy::PartReport>(in.parts),
+                       .customers = ListFromWire<policy::CustomerReport>(in.customers),
+                       .crashes = ListFromWire<policy::CrashSuspects::Crash>(in.crashes)};
+}
+
+}  // namespace lagoonwind::wire
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy git
   libboost-dev libthrift-dev prometheus-cpp-dev libtomlplusplus-dev libcxxopts-dev
   libgoogle-glog-dev libabsl-dev doctest-dev libxxhash-dev nlohmann-json3-dev librapidcheck-dev
-  libssl-dev)
+  libssl-dev libspdlog-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
