Read answers that end with their connection whole

Cause: Boost 1.74 takes an absent body limit for zero when a body has no length; two thirds of the plain service's answers failed with 'body limit exceeded'. Ruled out: broken connections (the log named the parser's error on fresh connections too).

--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -18,6 +18,9 @@
 constexpr int kMaxForeignAnswers = 2;
 /// Largest head of an answer, in bytes.
 constexpr std::uint32_t kMaxAnswerHead = 32U << 10U;
+/// Answers are passed on whatever their size. Boost 1.74 takes an absent limit for zero on bodies
+/// that end with their connection.
+constexpr std::uint64_t kNoBodyLimit = 1ULL << 62U;
 /// Part of a body that is read at a time.
 constexpr std::size_t kPartBytes = 16UL << 10U;
 
@@ -43,7 +46,7 @@
 asio::awaitable<absl::Status> BackendCall::ReadOneHead() {
   parser_.emplace();
   parser_->header_limit(kMaxAnswerHead);
-  parser_->body_limit(boost::none);
+  parser_->body_limit(kNoBodyLimit);
   ErrorCode error;
   co_await http::async_read_header(connection_->socket, connection_->buffer, *parser_,
                                    asio::redirect_error(asio::use_awaitable, error));
