--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -33,6 +33,9 @@
 /// cold backend servers.
 constexpr Duration kLonelyTime = std::chrono::milliseconds(2500);
 constexpr double kLonelyColdShare = 0.05;
+/// Part of the time until a draining process stops that a new request may be expected to take, as
+/// some take longer than expected.
+constexpr double kDrainShare = 0.5;
 /// Part of what a cold backend server bears that the fleet uses.
 constexpr double kColdShare = 0.9;
 
@@ -78,6 +81,13 @@
 
 Duration Exchange::TimeLeft(Time now) const { return std::max(deadline_ - now, Duration{0}); }
 
+Duration Exchange::TimeBeforeStop(Time now) const {
+  if (!context_.draining) {
+    return Duration::max();
+  }
+  return std::chrono::duration_cast<Duration>((context_.stop_at - now) * kDrainShare);
+}
+
 void Exchange::StopSending(Stop reason) {
   if (stop_ == Stop::kNone) {
     stop_ = reason;
@@ -149,7 +159,7 @@
   const policy::DispatchRequest request{.customer = HandleOf<CustomerId>(accepted_.customer),
                                         .prompt = prompt ? &*prompt : nullptr,
                                         .objective = accepted_.route->objective,
-                                        .time_left = TimeLeft(now),
+                                        .time_left = std::min(TimeLeft(now), TimeBeforeStop(now)),
                                         .timeout = accepted_.route->timeout,
                                         .repeated = sends_ > 0};
   return context_.dispatch.Decide(request, candidates, outstanding, context_.random(), now);
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -81,6 +81,8 @@
 
   [[nodiscard]] std::string RequestText(const BackendServer& server) const;
   [[nodiscard]] Duration TimeLeft(Time now) const;
+  /// Time that a request may be expected to take before a draining process stops.
+  [[nodiscard]] Duration TimeBeforeStop(Time now) const;
   [[nodiscard]] bool streaming() const { return accepted_.route->kind == RouteKind::kStreaming; }
   /// Closes the backend connection unless there is progress within `limit`.
   void Guard(Duration limit);
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -205,17 +205,17 @@
     co_await signals_.async_wait(asio::use_awaitable);
     const Time begun = Now();
     context_.draining = true;
+    context_.stop_at = begun + settings_.shutdown_grace - kStopMargin;
     context_.peers.Leave();
     context_.log.Write(Severity::kState, "draining", {{"requests", context_.active_requests}});
     asio::steady_timer timer(io_);
     for (;;) {
       timer.expires_after(kDrainPollInterval);
       co_await timer.async_wait(asio::use_awaitable);
-      const Duration passed = Now() - begun;
-      if (passed > settings_.shutdown_grace - kStopMargin) {
+      if (Now() > context_.stop_at) {
         break;
       }
-      if (passed < kBalancerTime) {
+      if (Now() - begun < kBalancerTime) {
         continue;
       }
       std::erase_if(sessions_, [](const auto& session) { return session.expired(); });
--- a/packages/gateway/src/gateway_context.h
+++ b/packages/gateway/src/gateway_context.h
@@ -53,6 +53,8 @@
   std::uint64_t held_bytes = 0;
   Time started = Time{};
   bool draining = false;
+  /// When the process stops, whatever still runs; set while it drains.
+  Time stop_at{};
   int active_requests = 0;
 
  private:
--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -159,7 +159,8 @@
 void Dispatch::Admit(const DispatchRequest& request, const Candidate& candidate,
                      DispatchDecision& decision, Time now) const {
   if (request.prompt == nullptr) {
-    decision.verdict = DispatchVerdict::kSend;
+    decision.verdict = request.objective > request.time_left ? DispatchVerdict::kHopeless
+                                                             : DispatchVerdict::kSend;
     return;
   }
   const EngineEstimate& estimate = decision.estimate;
