--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -25,9 +25,9 @@
 constexpr std::size_t kPartBytes = 16UL << 10U;
 
 absl::Status StatusOf(const ErrorCode& error) {
-  const bool malformed = error.category() == http::make_error_code(http::error::bad_method).category() &&
-                         error != http::error::end_of_stream &&
-                         error != http::error::partial_message;
+  const bool malformed =
+      error.category() == http::make_error_code(http::error::bad_method).category() &&
+      error != http::error::end_of_stream && error != http::error::partial_message;
   return malformed ? absl::DataLossError(error.message()) : absl::AbortedError(error.message());
 }
 
--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -134,24 +134,24 @@
 }
 
 void CallerSession::WatchCaller(std::weak_ptr<Exchange> exchange) {
-  socket_.async_wait(
-      asio::ip::tcp::socket::wait_read, [self = shared_from_this(), exchange](ErrorCode error) {
-        const auto running = exchange.lock();
-        if (error || running == nullptr) {
-          return;
-        }
-        if (IsClosed(self->socket_)) {
-          running->CallerLeft();
-          return;
-        }
-        // The next request is waiting already; look again later.
-        self->watch_timer_.expires_after(kWatchInterval);
-        self->watch_timer_.async_wait([self, exchange](ErrorCode cancelled) {
-          if (!cancelled && exchange.lock() != nullptr) {
-            self->WatchCaller(exchange);
-          }
-        });
-      });
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this(), exchange](ErrorCode error) {
+                       const auto running = exchange.lock();
+                       if (error || running == nullptr) {
+                         return;
+                       }
+                       if (IsClosed(self->socket_)) {
+                         running->CallerLeft();
+                         return;
+                       }
+                       // The next request is waiting already; look again later.
+                       self->watch_timer_.expires_after(kWatchInterval);
+                       self->watch_timer_.async_wait([self, exchange](ErrorCode cancelled) {
+                         if (!cancelled && exchange.lock() != nullptr) {
+                           self->WatchCaller(exchange);
+                         }
+                       });
+                     });
 }
 
 asio::awaitable<bool> CallerSession::ServeRequest(Parser& parser) {
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -137,12 +137,11 @@
     if (std::ranges::find(tried_, known->server.id) != tried_.end()) {
       continue;
     }
-    candidates.push_back(
-        {.server = known->server.id,
-         .own_zone = known->server.zone == context_.settings.zone,
-         .cold_rate = ColdRate(*known, now),
-         .slots = known->server.slots,
-         .memory_tokens = is_engine ? service->second.engine->memory_tokens : 0});
+    candidates.push_back({.server = known->server.id,
+                          .own_zone = known->server.zone == context_.settings.zone,
+                          .cold_rate = ColdRate(*known, now),
+                          .slots = known->server.slots,
+                          .memory_tokens = is_engine ? service->second.engine->memory_tokens : 0});
   }
   return candidates;
 }
@@ -216,8 +215,8 @@
     return false;
   }
   const Route& route = *accepted_.route;
-  const bool has_run = end == SendEnd::kUnknown || end == SendEnd::kFailed ||
-                       end == SendEnd::kBroken;
+  const bool has_run =
+      end == SendEnd::kUnknown || end == SendEnd::kFailed || end == SendEnd::kBroken;
   if (end == SendEnd::kNotSent) {
     return true;
   }
@@ -376,16 +375,15 @@
     context_.health.Failed(server.id, now);
   }
   if (stop_ != Stop::kCallerLeft) {
-    context_.log.Write(
-        Severity::kFailure, "answer_interrupted",
-        {{"request", accepted_.request.id},
-         {"server", server.name},
-         {"reason", stop_ == Stop::kTimeout   ? "timeout"
-                    : stop_ == Stop::kStalled ? "no progress"
-                                              : status.ToString()},
-         {"after_ms", Milliseconds(now - sent_at_)},
-         {"reused_connection", connection_ != nullptr && connection_->reused},
-         {"last_event", events_.last_id()}});
+    context_.log.Write(Severity::kFailure, "answer_interrupted",
+                       {{"request", accepted_.request.id},
+                        {"server", server.name},
+                        {"reason", stop_ == Stop::kTimeout   ? "timeout"
+                                   : stop_ == Stop::kStalled ? "no progress"
+                                                             : status.ToString()},
+                        {"after_ms", Milliseconds(now - sent_at_)},
+                        {"reused_connection", connection_ != nullptr && connection_->reused},
+                        {"last_event", events_.last_id()}});
   }
   switch (stop_) {
     case Stop::kCallerLeft:
@@ -424,17 +422,17 @@
   if (!stream_begun_) {
     stream_begun_ = true;
     // A stream that is resumed elsewhere may have another length.
-    writer_.Begin(call.head(),
-                  accepted_.route->resumable ? std::nullopt : call.content_length());
+    writer_.Begin(call.head(), accepted_.route->resumable ? std::nullopt : call.content_length());
   }
   co_return co_await writer_.WritePart(bytes);
 }
 
 asio::awaitable<Exchange::SendEnd> Exchange::Relay(BackendCall& call, const BackendServer& server) {
   auto part = std::make_unique<std::array<char, kPartBytes>>();
-  const Duration stall = accepted_.route->repeatable()
-                             ? std::max(kMinStall, kStallObjectives * Duration{accepted_.route->objective})
-                             : TimeLeft(Now()) + std::chrono::hours(1);
+  const Duration stall =
+      accepted_.route->repeatable()
+          ? std::max(kMinStall, kStallObjectives * Duration{accepted_.route->objective})
+          : TimeLeft(Now()) + std::chrono::hours(1);
   for (;;) {
     const auto count = co_await call.ReadPart(*part);
     if (!count.ok()) {
@@ -536,8 +534,7 @@
     co_return co_await Finish(SendEnd::kFailed);
   }
   if (open_sends_ > 0) {
-    co_return co_await AnswerOwn(kBadGateway, "the backend server's answer was lost",
-                                 std::nullopt);
+    co_return co_await AnswerOwn(kBadGateway, "the backend server's answer was lost", std::nullopt);
   }
   const double spread = 1 + kRetrySpread * context_.Random();
   const auto retry_after = std::chrono::duration_cast<Duration>(decision.retry_after * spread);
--- a/packages/gateway/src/fleet_facts.cc
+++ b/packages/gateway/src/fleet_facts.cc
@@ -49,8 +49,8 @@
   changes.insert(changes.end(), page.records.begin(), page.records.end());
   for (const Record& record : changes) {
     const auto before = known.find(record.key);
-    const bool same = record.value.has_value() && before != known.end() &&
-                      before->second == *record.value;
+    const bool same =
+        record.value.has_value() && before != known.end() && before->second == *record.value;
     if (record.value.has_value()) {
       known[record.key] = *record.value;
     } else {
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -34,14 +34,14 @@
       share(std::chrono::duration_cast<Duration>(own_settings.share_window)),
       crashes(suspects, log),
       dispatch(load, share, health, cold),
-      peers(own_io, {.settings = own_settings,
-                     .incarnation = Incarnation{random() | 1U},
-                     .store = own_adapter.store,
-                     .facts = facts,
-                     .log = log,
-                     .report_received =
-                         [this](const wire::GatewayReport& report) { TakeReport(report); },
-                     .report_wanted = [this](wire::GatewayReport& report) { FillReport(report); }}),
+      peers(own_io,
+            {.settings = own_settings,
+             .incarnation = Incarnation{random() | 1U},
+             .store = own_adapter.store,
+             .facts = facts,
+             .log = log,
+             .report_received = [this](const wire::GatewayReport& report) { TakeReport(report); },
+             .report_wanted = [this](wire::GatewayReport& report) { FillReport(report); }}),
       started(Now()) {
   facts.OnServerGone([this](const BackendServer& server) { ForgetServer(server); });
 }
--- a/packages/policy/include/lagoonwind/dispatch.h
+++ b/packages/policy/include/lagoonwind/dispatch.h
@@ -123,8 +123,8 @@
   [[nodiscard]] double Cost(const DispatchRequest& request, const Candidate& candidate,
                             int outstanding, std::uint64_t seed, EngineEstimate& estimate,
                             Time now) const;
-  void Admit(const DispatchRequest& request, const Candidate& candidate,
-             DispatchDecision& decision, Time now) const;
+  void Admit(const DispatchRequest& request, const Candidate& candidate, DispatchDecision& decision,
+             Time now) const;
 
   const EngineLoad& load_;
   const CustomerShare& share_;
--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -55,11 +55,15 @@
 constexpr double kMaxRunningPerSlot = 1.0;
 /// The same for plain services, which queue a few requests.
 constexpr double kMaxBusyPerSlot = 3.0;
+/// Part of the objective that must be left for a plain request to be of use.
+constexpr double kLeastPlainTime = 0.25;
 /// Least time that callers are told to stay away.
 constexpr Duration kMinRetryAfter = milliseconds(300);
 
 double AsSeconds(Duration time) { return Seconds(time).count(); }
-Duration AsDuration(double seconds) { return std::chrono::duration_cast<Duration>(Seconds(seconds)); }
+Duration AsDuration(double seconds) {
+  return std::chrono::duration_cast<Duration>(Seconds(seconds));
+}
 
 /// Part of the usual wait that a customer may cause.
 double UsagePart(double usage) {
@@ -126,8 +130,8 @@
   estimate = load_.Expect(candidate.server, *request.prompt, now);
   cost += AsSeconds(estimate.wait) + AsSeconds(estimate.read);
   cost += kRunningCost * static_cast<double>(estimate.running);
-  cost += kRepeatedReadWeight * static_cast<double>(estimate.repeated_tokens) /
-          load_.reading_rate();
+  cost +=
+      kRepeatedReadWeight * static_cast<double>(estimate.repeated_tokens) / load_.reading_rate();
   const std::uint64_t rank = MixHash(SharedPrefix(*request.prompt), candidate.server.value);
   cost += kStrangerCost * static_cast<double>(rank % 1000) / 1000;
   return cost;
@@ -159,8 +163,10 @@
 void Dispatch::Admit(const DispatchRequest& request, const Candidate& candidate,
                      DispatchDecision& decision, Time now) const {
   if (request.prompt == nullptr) {
-    decision.verdict = request.objective > request.time_left ? DispatchVerdict::kHopeless
-                                                             : DispatchVerdict::kSend;
+    const Duration usual = std::min(request.objective, request.timeout);
+    decision.verdict = AsSeconds(request.time_left) < AsSeconds(usual) * kLeastPlainTime
+                           ? DispatchVerdict::kHopeless
+                           : DispatchVerdict::kSend;
     return;
   }
   const EngineEstimate& estimate = decision.estimate;
@@ -180,10 +186,9 @@
   decision.usage = share_.Usage(request.customer, now);
   const double most_wait = AsSeconds(request.objective) * part;
   const double wait = AsSeconds(estimate.wait);
-  const bool full =
-      static_cast<double>(estimate.running) >= kMaxRunningPerSlot * candidate.slots ||
-      static_cast<double>(estimate.running_tokens) >
-          kMemoryShare * static_cast<double>(candidate.memory_tokens);
+  const bool full = static_cast<double>(estimate.running) >= kMaxRunningPerSlot * candidate.slots ||
+                    static_cast<double>(estimate.running_tokens) >
+                        kMemoryShare * static_cast<double>(candidate.memory_tokens);
   if (wait > most_wait || full) {
     decision.verdict = DispatchVerdict::kOverloaded;
   } else if (wait > most_wait * UsagePart(decision.usage)) {
--- a/packages/policy/src/engine_load.cc
+++ b/packages/policy/src/engine_load.cc
@@ -92,8 +92,8 @@
   if (waiting != engine->running.end()) {
     const Duration expected = ReadingTime(waiting->ahead + waiting->unread) + kFirstEventOverhead;
     const Duration late = now - waiting->sent - expected;
-    estimate.wait = std::max(
-        estimate.wait, duration_cast<Duration>(std::max(late, Duration{0}) * kOverdueShare));
+    estimate.wait = std::max(estimate.wait,
+                             duration_cast<Duration>(std::max(late, Duration{0}) * kOverdueShare));
   }
   estimate.running = static_cast<std::int64_t>(engine->running.size());
   estimate.running_tokens = engine->own_memory;
@@ -125,8 +125,8 @@
   Running request{.sequence = ++last_sequence_,
                   .sent = now,
                   .unread = unread,
-                  .ahead = static_cast<std::int64_t>(
-                      std::chrono::duration<double>(wait).count() * reading_rate_)};
+                  .ahead = static_cast<std::int64_t>(std::chrono::duration<double>(wait).count() *
+                                                     reading_rate_)};
   AddUnread(engine, static_cast<std::uint64_t>(unread), now);
   request.position = engine.sent_tokens;
   request.memory = unread + prompt.max_output_tokens;
@@ -151,8 +151,7 @@
   if (tokens < kMinRateSampleTokens || reading <= Duration{0}) {
     return;
   }
-  const double seen =
-      static_cast<double>(tokens) / std::chrono::duration<double>(reading).count();
+  const double seen = static_cast<double>(tokens) / std::chrono::duration<double>(reading).count();
   const double sample =
       std::clamp(seen, reading_rate_ / kMaxRateStep, reading_rate_ * kMaxRateStep);
   reading_rate_ += kRateSampleWeight * (sample - reading_rate_);
