Model engines' memory by what was read since, and admit by use of the share

(2) customers far beyond their share could fill a quarter of the longest wait, and those at their share all of it, so that light customers were refused as overloaded. Ruled out: too little capacity alone (tokens begun stayed below what engines read).

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -270,6 +270,11 @@
   ++context_.outstanding[server_id];
   const auto& prompt = accepted_.request.prompt;
   if (prompt) {
+    const auto& services = context_.facts.configuration()->services;
+    const auto service = services.find(service_);
+    if (service != services.end() && service->second.engine) {
+      context_.load.SetMemory(server_id, service->second.engine->memory_tokens);
+    }
     load_sequence_ = context_.load.Sent(server_id, *prompt, Now());
   }
   context_.cold.Sent(server_id, Now());
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -58,6 +58,7 @@
 
 void GatewayContext::FillReport(wire::GatewayReport& report) {
   const Time now = Now();
+  load.DropSilentPeers(now);
   report.engines = load.Reports();
   report.parts = load.PartsSince(now - kPartRepeatTime);
   report.crashes = suspects.CrashesSince(now - kCrashRepeatTime);
--- a/packages/policy/include/lagoonwind/engine_load.h
+++ b/packages/policy/include/lagoonwind/engine_load.h
@@ -33,8 +33,8 @@
 struct EngineLoadInit {
   /// Prompt tokens that an engine reads in a second until it is known better.
   double reading_rate = 40000;
-  /// Time for which a part of a prompt is expected to stay in an engine's memory unused.
-  Duration part_lifetime = std::chrono::seconds(20);
+  /// Time after its last use anywhere from which on a part counts as forgotten by all engines.
+  Duration part_lifetime = std::chrono::seconds(6);
   /// Silence of a peer after which what it reported last no longer counts.
   Duration peer_timeout = std::chrono::seconds(2);
 };
@@ -82,6 +82,9 @@
   /// What `prompt` would meet at `server` now.
   [[nodiscard]] EngineEstimate Expect(ServerId server, const Prompt& prompt, Time now) const;
 
+  /// Tells how much an engine keeps, in tokens.
+  void SetMemory(ServerId server, std::int64_t tokens) { engines_[server].memory_tokens = tokens; }
+
   /// The prompt was sent to `server`.
   /// \return Names the request in the calls that follow.
   Sequence Sent(ServerId server, const Prompt& prompt, Time now);
@@ -99,6 +102,9 @@
   void PeerReported(Incarnation peer, std::span<const EngineReport> engines,
                     std::span<const PartReport> parts, Time now);
 
+  /// No longer counts running requests of peers that have been silent for too long.
+  void DropSilentPeers(Time now);
+
   /// Forgets an engine that is gone.
   void Forget(ServerId server) { engines_.erase(server); }
   /// Prompt tokens that an engine reads in a second, as learnt from answers.
@@ -119,6 +125,11 @@
     EngineReport last;
     Time heard;
   };
+  struct PartUse {
+    Time at;
+    /// Value of `Engine::sent_tokens` then.
+    std::uint64_t position = 0;
+  };
   struct Engine {
     /// When the engine will have read all that it was sent.
     Time read_until{};
@@ -127,9 +138,11 @@
     std::uint64_t own_tokens = 0;
     std::int64_t own_memory = 0;
     std::vector<Running> running;
+    /// Memory for prompts and answers; 0 if unknown.
+    std::int64_t memory_tokens = 0;
     absl::flat_hash_map<Incarnation, PeerState> peers;
-    /// Last use of each kept part, by the hash of the prompt up to its end.
-    absl::flat_hash_map<std::uint64_t, Time> parts;
+    /// Last use of each part, by the hash of the prompt up to its end.
+    absl::flat_hash_map<std::uint64_t, PartUse> parts;
   };
   struct SentPart {
     Time at;
@@ -143,6 +156,7 @@
   [[nodiscard]] Duration ReadingTime(std::int64_t tokens) const;
   void AddUnread(Engine& engine, std::uint64_t tokens, Time now) const;
   [[nodiscard]] Unread UnreadOf(const Engine* engine, const Prompt& prompt, Time now) const;
+  [[nodiscard]] static std::int64_t RunningTokens(const Engine& engine);
   [[nodiscard]] bool Kept(const Engine& engine, std::uint64_t part, Time now) const;
   void LearnRate(const Running& request, Time now);
   void UsePart(Engine& engine, std::uint64_t part, Time now);
--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -26,7 +26,7 @@
 
 /// Weight of tokens that are read again although another engine keeps them, against the time to
 /// read them.
-constexpr double kRepeatedReadWeight = 1.0;
+constexpr double kRepeatedReadWeight = 2.0;
 /// Cost of leaving the engine that a prompt part is hashed to while no engine keeps the part.
 constexpr double kStrangerCost = 0.02;
 /// Cost of another availability zone.
@@ -37,16 +37,20 @@
 
 // Admission.
 
-/// Part of the objective that may pass before an engine begins to read a prompt.
-constexpr double kWaitShare = 0.62;
-/// The same for callers that return after a refusal, whose objective has passed.
-constexpr double kReturningWaitShare = 0.62;
-/// Use of the share from which on the wait that a customer may cause shrinks, and the use from
-/// which on it has shrunk to its least.
-constexpr double kUsageKnee = 1.0;
-constexpr double kUsageEnd = 2.0;
-/// Least part of the usual wait that is left to a customer beyond its share.
-constexpr double kLeastUsagePart = 0.25;
+/// Time from the end of reading to the first event at the caller: an engine's first step, half a
+/// step that runs already, and the way there and back.
+constexpr Duration kBeginOverhead = milliseconds(100);
+/// Part of the objective that is left for waiting at least, so that large prompts are not refused
+/// for their own reading time.
+constexpr double kLeastWaitShare = 0.4;
+/// Part of the longest useful wait that customers at their share may cause; the rest is kept for
+/// those below it.
+constexpr double kFairWaitShare = 0.65;
+/// Use of the share from which on only the least wait is allowed.
+constexpr double kUsageEnd = 1.5;
+/// Part of the longest useful wait that is open to a customer whatever its use, so that no engine
+/// runs empty while anyone has work.
+constexpr double kLeastUsagePart = 0.15;
 /// Engine time for one token of an answer while prompts are read beside it.
 constexpr Duration kTokenTime = std::chrono::microseconds(9000);
 /// Part of an engine's memory that running requests may need beyond shared parts.
@@ -67,8 +71,11 @@
 
 /// Part of the usual wait that a customer may cause.
 double UsagePart(double usage) {
-  const double beyond = std::clamp((usage - kUsageKnee) / (kUsageEnd - kUsageKnee), 0.0, 1.0);
-  return 1 - beyond * (1 - kLeastUsagePart);
+  if (usage <= 1) {
+    return 1 - usage * (1 - kFairWaitShare);
+  }
+  const double beyond = std::min((usage - 1) / (kUsageEnd - 1), 1.0);
+  return kFairWaitShare - beyond * (kFairWaitShare - kLeastUsagePart);
 }
 
 /// Hash of the parts that a prompt shares with others; the last one is its own.
@@ -181,10 +188,10 @@
     decision.verdict = DispatchVerdict::kSend;
     return;
   }
-  const bool returning = request.time_left < request.timeout - request.objective / 2;
-  const double part = returning ? kReturningWaitShare : kWaitShare;
   decision.usage = share_.Usage(request.customer, now);
-  const double most_wait = AsSeconds(request.objective) * part;
+  const double objective = AsSeconds(request.objective);
+  const double most_wait = std::max(objective - AsSeconds(kBeginOverhead + estimate.read),
+                                    objective * kLeastWaitShare);
   const double wait = AsSeconds(estimate.wait);
   const bool full = static_cast<double>(estimate.running) >= kMaxRunningPerSlot * candidate.slots ||
                     static_cast<double>(estimate.running_tokens) >
--- a/packages/policy/src/engine_load.cc
+++ b/packages/policy/src/engine_load.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <numeric>
 
+
 namespace lagoonwind::policy {
 namespace {
 
@@ -25,8 +26,12 @@
 /// A queue that is overdue is taken to need at least this part of the time it is late by.
 constexpr double kOverdueShare = 0.5;
 
-template <class Predicate>
-void EraseIf(absl::flat_hash_map<std::uint64_t, Time>& parts, Predicate predicate) {
+/// Part of an engine's memory that parts of prompts are expected to fill; the rest goes to answers
+/// and to what isn't known of its load.
+constexpr double kPartMemoryShare = 0.85;
+
+template <class Parts, class Predicate>
+void EraseIf(Parts& parts, Predicate predicate) {
   for (auto it = parts.begin(); it != parts.end();) {
     if (predicate(it->second)) {
       parts.erase(it++);
@@ -51,7 +56,24 @@
 
 bool EngineLoad::Kept(const Engine& engine, std::uint64_t part, Time now) const {
   const auto found = engine.parts.find(part);
-  return found != engine.parts.end() && now - found->second < init_.part_lifetime;
+  if (found == engine.parts.end()) {
+    return false;
+  }
+  if (engine.memory_tokens == 0) {
+    return now - found->second.at < init_.part_lifetime;
+  }
+  // The least recently used parts yield to what was read since.
+  const auto read_since = static_cast<double>(engine.sent_tokens - found->second.position);
+  const double room = static_cast<double>(engine.memory_tokens) * kPartMemoryShare -
+                      static_cast<double>(RunningTokens(engine));
+  return read_since < room;
+}
+
+std::int64_t EngineLoad::RunningTokens(const Engine& engine) {
+  return std::accumulate(engine.peers.begin(), engine.peers.end(), engine.own_memory,
+                         [](std::int64_t sum, const auto& peer) {
+                           return sum + peer.second.last.running_tokens;
+                         });
 }
 
 EngineLoad::Unread EngineLoad::UnreadOf(const Engine* engine, const Prompt& prompt,
@@ -96,22 +118,19 @@
                              duration_cast<Duration>(std::max(late, Duration{0}) * kOverdueShare));
   }
   estimate.running = static_cast<std::int64_t>(engine->running.size());
-  estimate.running_tokens = engine->own_memory;
+  estimate.running_tokens = RunningTokens(*engine);
   for (const auto& [peer, state] : engine->peers) {
-    if (now - state.heard < init_.peer_timeout) {
-      estimate.running += state.last.running;
-      estimate.running_tokens += state.last.running_tokens;
-    }
+    estimate.running += state.last.running;
   }
   return estimate;
 }
 
 void EngineLoad::UsePart(Engine& engine, std::uint64_t part, Time now) {
-  engine.parts[part] = now;
+  engine.parts[part] = {.at = now, .position = engine.sent_tokens};
   known_parts_[part] = now;
   const auto outdated = [&](Time used) { return now - used >= init_.part_lifetime; };
   if (engine.parts.size() > kPartSweepSize) {
-    EraseIf(engine.parts, outdated);
+    EraseIf(engine.parts, [&](const PartUse& use) { return outdated(use.at); });
   }
   if (known_parts_.size() > 4 * kPartSweepSize) {
     EraseIf(known_parts_, outdated);
@@ -214,6 +233,17 @@
   return parts;
 }
 
+void EngineLoad::DropSilentPeers(Time now) {
+  for (auto& [server, engine] : engines_) {
+    for (auto& [peer, state] : engine.peers) {
+      if (now - state.heard > init_.peer_timeout) {
+        state.last.running = 0;
+        state.last.running_tokens = 0;
+      }
+    }
+  }
+}
+
 void EngineLoad::PeerReported(Incarnation peer, std::span<const EngineReport> engines,
                               std::span<const PartReport> parts, Time now) {
   for (const EngineReport& report : engines) {
