--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -22,6 +22,9 @@
 constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
 /// Interval between looks whether a caller that has sent more has left.
 constexpr milliseconds kWatchInterval{50};
+/// Time after which a caller may come again after a refusal that has nothing to do with load on
+/// backend servers; another gateway may serve it at once.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 /// Part of the process's memory that bodies of requests may take.
 constexpr double kBodyMemoryShare = 0.25;
 
@@ -128,7 +131,7 @@
   }
   OwnAnswer answer{.status = status, .reason = reason, .request_id = request_id};
   if (status == kUnavailable) {
-    answer.retry_after = std::chrono::seconds(1);
+    answer.retry_after = kRetryAfter;
   }
   co_return co_await writer_.WriteOwn(answer);
 }
@@ -164,6 +167,10 @@
     co_return co_await Refuse(kBadRequest, reason, "unknown");
   }
   const std::string id = request->id;
+  if (context_.monitor.saturated()) {
+    writer_.CloseAfterwards();
+    co_return co_await Refuse(kUnavailable, "the gateway is overloaded", id);
+  }
   const auto configuration = context_.facts.configuration();
   if (configuration == nullptr) {
     co_return co_await Refuse(kUnavailable, "no configuration is known yet", id);
@@ -233,7 +240,7 @@
       break;
     }
     const bool keep_alive = parser.get().keep_alive();
-    if (!keep_alive || context_.draining) {
+    if (!keep_alive || context_.draining || context_.monitor.overloaded()) {
       writer_.CloseAfterwards();
     }
     writer_.Reset();
--- a/packages/gateway/src/caller_writer.h
+++ b/packages/gateway/src/caller_writer.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "backend_pool.h"
 #include "lagoonwind/gateway.h"
 
 namespace lagoonwind::gateway {
@@ -27,6 +28,8 @@
   /// Whether the connection is closed after the present answer.
   void CloseAfterwards() { close_ = true; }
   [[nodiscard]] bool closes() const { return close_; }
+  /// True if the caller has closed its connection.
+  [[nodiscard]] bool caller_closed() const { return IsClosed(socket_); }
   /// True once a byte of the present answer was written.
   [[nodiscard]] bool begun() const { return begun_; }
   /// The next answer begins.
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -24,20 +24,27 @@
 /// multiple of the objective, and the least such time.
 constexpr int kStallObjectives = 2;
 constexpr Duration kMinStall = std::chrono::milliseconds(900);
+/// For requests that can't be repeated; they end with their deadline.
+constexpr Duration kNoStall = std::chrono::hours(1);
 /// Largest answer that is held whole before it is passed on.
 constexpr std::size_t kMaxHeldAnswer = 1UL << 20U;
 constexpr std::size_t kPartBytes = 16UL << 10U;
 /// Part of the retry-after time by which callers are spread, so that they don't return together.
 constexpr double kRetrySpread = 0.6;
-/// Time after the start in which this gateway can't know all others, so that it sends little to
+/// Time after the start in which this gateway can't know all others, so that it sends nothing to
 /// cold backend servers.
 constexpr Duration kLonelyTime = std::chrono::milliseconds(2500);
-constexpr double kLonelyColdShare = 0.05;
+/// Gateways that send to one cold backend server. More would make the bound hard to keep, as each
+/// may send one request at any time.
+constexpr int kColdOwners = 3;
+/// Requests a second that the other gateways may send to it.
+constexpr double kNoColdRate = 1e-6;
 /// Part of the time until a draining process stops that a new request may be expected to take, as
 /// some take longer than expected.
 constexpr double kDrainShare = 0.5;
-/// Part of what a cold backend server bears that the fleet uses.
-constexpr double kColdShare = 0.9;
+/// Part of what a cold backend server bears that the fleet uses; half of the fleet may choose other
+/// owners while it can't reach the rest.
+constexpr double kColdShare = 0.6;
 
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -103,13 +110,25 @@
   guard_.cancel();
 }
 
-void Exchange::Guard(Duration limit) {
-  const Duration left = TimeLeft(Now()) + kTimeoutGrace;
-  const Stop reason = limit < left ? Stop::kStalled : Stop::kTimeout;
-  guard_.expires_after(std::min(limit, left));
-  guard_.async_wait([weak = weak_from_this(), reason](const ErrorCode& error) {
+void Exchange::Guard(Duration stall) {
+  stall_ = stall;
+  NoteProgress();
+  AwaitGuard();
+}
+
+void Exchange::AwaitGuard() {
+  const Time now = Now();
+  const Duration until_stalled = progress_at_ + stall_ - now;
+  const Duration until_timeout = deadline_ + kTimeoutGrace - now;
+  if (until_timeout <= Duration{0} || until_stalled <= Duration{0}) {
+    StopSending(until_timeout <= Duration{0} ? Stop::kTimeout : Stop::kStalled);
+    return;
+  }
+  // Progress only moves a time; the timer looks at it when it fires.
+  guard_.expires_after(std::min(until_stalled, until_timeout));
+  guard_.async_wait([weak = weak_from_this()](const ErrorCode& error) {
     if (const auto self = weak.lock(); self != nullptr && !error) {
-      self->StopSending(reason);
+      self->AwaitGuard();
     }
   });
 }
@@ -123,9 +142,9 @@
   if (service == services.end() || service->second.cold_requests_per_s <= 0) {
     return 0;
   }
-  const bool lonely = now - context_.started < kLonelyTime;
-  const double share = lonely ? kLonelyColdShare : kColdShare / context_.peers.fleet_size();
-  return service->second.cold_requests_per_s * share;
+  const bool is_owner = now - context_.started > kLonelyTime &&
+                        context_.peers.IsOwner(known.server.id.value, kColdOwners);
+  return is_owner ? service->second.cold_requests_per_s * kColdShare / kColdOwners : kNoColdRate;
 }
 
 std::vector<policy::Candidate> Exchange::Candidates(Time now) const {
@@ -176,6 +195,11 @@
 
 asio::awaitable<bool> Exchange::Serve() {
   const Time now = Now();
+  if (writer_.caller_closed()) {
+    // It left while its request waited to be read.
+    LogEnd("caller_left", 0);
+    co_return false;
+  }
   const auto customer = HandleOf<CustomerId>(accepted_.customer);
   if (accepted_.request.prompt) {
     context_.share.Asked(customer, accepted_.request.prompt->input_tokens, now);
@@ -338,7 +362,7 @@
       accepted_.route->repeatable()
           ? std::max(kMinStall, decision_.estimate.wait + decision_.estimate.read +
                                     kStallObjectives * Duration{accepted_.route->objective})
-          : TimeLeft(Now()) + std::chrono::hours(1);
+          : kNoStall;
   Guard(stall);
   const absl::Status read = co_await call.ReadHead();
   if (!read.ok()) {
@@ -437,7 +461,7 @@
   const Duration stall =
       accepted_.route->repeatable()
           ? std::max(kMinStall, kStallObjectives * Duration{accepted_.route->objective})
-          : TimeLeft(Now()) + std::chrono::hours(1);
+          : kNoStall;
   for (;;) {
     const auto count = co_await call.ReadPart(*part);
     if (!count.ok()) {
@@ -467,7 +491,8 @@
       const bool ended = co_await writer_.End();
       co_return ended ? SendEnd::kAnswered : SendEnd::kCallerLeft;
     }
-    Guard(stall);
+    NoteProgress();
+    co_await context_.monitor.Coalesce();
   }
 }
 
@@ -516,10 +541,14 @@
     case SendEnd::kNotRun:
       co_return co_await Refuse(decision_);
   }
-  if (!held_) {
+  if (stream_begun_ && end == SendEnd::kAnswered) {
     LogEnd("answered", 200);
     co_return true;
   }
+  if (stream_begun_ || !held_) {
+    LogEnd("broken_off", 0);
+    co_return false;
+  }
   const unsigned status = held_->head.result_int();
   if (PromisesNotRun(status)) {
     // The backend server doesn't say that it hasn't run the request, so neither may this answer.
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -7,6 +7,7 @@
 
 #include "backend_call.h"
 #include "caller_writer.h"
+#include "clock.h"
 #include "event_splitter.h"
 #include "gateway_context.h"
 
@@ -84,8 +85,10 @@
   /// Time that a request may be expected to take before a draining process stops.
   [[nodiscard]] Duration TimeBeforeStop(Time now) const;
   [[nodiscard]] bool streaming() const { return accepted_.route->kind == RouteKind::kStreaming; }
-  /// Closes the backend connection unless there is progress within `limit`.
-  void Guard(Duration limit);
+  /// Closes the backend connection at the deadline, or once there is no progress for `stall`.
+  void Guard(Duration stall);
+  void AwaitGuard();
+  void NoteProgress() { progress_at_ = Now(); }
   void StopSending(Stop reason);
   void NoteFirstPart(const BackendServer& server);
   void LogEnd(std::string_view outcome, unsigned status);
@@ -97,6 +100,8 @@
   Time deadline_;
   Digest digest_;
   asio::steady_timer guard_;
+  Duration stall_{0};
+  Time progress_at_{};
   Stop stop_ = Stop::kNone;
   BackendPool::Connection connection_;
   EventSplitter events_;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -29,12 +29,12 @@
 
 /// Interval at which buffered log lines are handed on.
 constexpr milliseconds kLogFlushInterval{100};
-/// Longest time for which a call for operators' records is held. Short, so that a connection that
-/// has gone silent is noticed well before a configuration must be in force.
-constexpr milliseconds kOperatorWait{900};
+/// Longest time for which the store holds a call without news. Keep-alive probes tell sooner if the
+/// connection has gone silent.
+constexpr milliseconds kStoreWait{6000};
 /// Pause between reads of the list of backend servers; a fraction of the time in which one that
 /// leaves must be known.
-constexpr milliseconds kServersPause{400};
+constexpr milliseconds kServersPause{250};
 /// Time after SIGTERM in which the balancer learns that no new connections are wanted.
 constexpr Duration kBalancerTime = std::chrono::milliseconds(2500);
 /// Time before the end of the grace at which the process stops, whatever still runs.
@@ -51,9 +51,12 @@
         adapter_(adapter),
         context_(io_, settings, adapter),
         operators_(adapter.store, context_.facts, context_.log,
-                   {.topic = Topic::kOperator, .name = "operator", .wait = kOperatorWait}),
+                   {.topic = Topic::kOperator, .name = "operator", .wait = kStoreWait}),
         servers_(adapter.store, context_.facts, context_.log,
-                 {.topic = Topic::kServers, .name = "servers", .pause = kServersPause}),
+                 {.topic = Topic::kServers,
+                  .name = "servers",
+                  .wait = kStoreWait,
+                  .pause = kServersPause}),
         callers_(io_),
         readiness_(io_),
         metrics_(io_),
@@ -97,6 +100,7 @@
     Spawn(io_, context_.log, "readiness", ServeReadiness());
     Spawn(io_, context_.log, "metrics", ServeMetrics());
     Spawn(io_, context_.log, "accept", AcceptCallers());
+    Spawn(io_, context_.log, "loop_monitor", context_.monitor.Run());
     Spawn(io_, context_.log, "flush_log", FlushLog());
     Spawn(io_, context_.log, "signals", AwaitSignal());
     Spawn(io_, context_.log, "reload", AwaitReload());
@@ -108,7 +112,8 @@
       if (request.target != context_.headers.readiness_path()) {
         co_return http::Response{.status = kNotFound};
       }
-      const bool ready = !context_.draining && context_.facts.configuration() != nullptr &&
+      const bool ready = !context_.draining && !context_.monitor.overloaded() &&
+                         context_.facts.configuration() != nullptr &&
                          context_.facts.server_count() > 0;
       co_return http::Response{.status = ready ? kOk : kUnavailable};
     };
@@ -145,6 +150,8 @@
                 context_.active_requests);
     metrics.Set("lagoonwind_gateway_held_body_bytes", "Bytes of request bodies that are held",
                 static_cast<double>(context_.held_bytes));
+    metrics.Set("lagoonwind_gateway_loop_late_seconds", "Smoothed lateness of the event loop",
+                Milliseconds(context_.monitor.lateness()) / 1000);
     metrics.Set("lagoonwind_gateway_peers", "Other gateways that were heard lately",
                 context_.peers.live());
     metrics.Set("lagoonwind_gateway_peer_bytes_total", "Bytes of reports sent to other gateways",
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -8,10 +8,12 @@
 namespace {
 
 /// Time for which new facts are repeated in reports, so that a lost datagram loses none.
-constexpr Duration kPartRepeatTime = std::chrono::milliseconds(350);
-constexpr Duration kCrashRepeatTime = std::chrono::seconds(2);
+constexpr Duration kPartRepeatTime = std::chrono::milliseconds(170);
+constexpr Duration kCrashRepeatTime = std::chrono::milliseconds(500);
 /// Customers change slowly; only every so many reports name them.
 constexpr std::uint64_t kCustomersEvery = 3;
+/// Reports between looks for peers that no longer report.
+constexpr std::uint64_t kSilentPeersEvery = 10;
 
 std::uint64_t RandomSeed() {
   std::random_device device;
@@ -30,6 +32,7 @@
       log(own_settings.name),
       facts(own_adapter.records, log),
       pool(own_io),
+      monitor(own_io, log),
       load(policy::EngineLoadInit{}),
       share(std::chrono::duration_cast<Duration>(own_settings.share_window)),
       crashes(suspects, log),
@@ -58,13 +61,16 @@
 
 void GatewayContext::FillReport(wire::GatewayReport& report) {
   const Time now = Now();
-  load.DropSilentPeers(now);
+  if (reports_ % kSilentPeersEvery == 0) {
+    load.DropSilentPeers(now);
+  }
   report.engines = load.Reports();
   report.parts = load.PartsSince(now - kPartRepeatTime);
   report.crashes = suspects.CrashesSince(now - kCrashRepeatTime);
   if (reports_++ % kCustomersEvery == 0) {
     report.customers = share.Reports();
   }
+  filter_.Apply(report);
 }
 
 void GatewayContext::TakeReport(const wire::GatewayReport& report) {
--- a/packages/gateway/src/gateway_context.h
+++ b/packages/gateway/src/gateway_context.h
@@ -14,7 +14,9 @@
 #include "gateway_metrics.h"
 #include "lagoonwind/dispatch.h"
 #include "lagoonwind/gateway.h"
+#include "loop_monitor.h"
 #include "peers.h"
+#include "report_filter.h"
 
 namespace lagoonwind::gateway {
 
@@ -38,6 +40,7 @@
   GatewayMetrics metrics;
   FleetFacts facts;
   BackendPool pool;
+  LoopMonitor monitor;
   policy::EngineLoad load;
   policy::CustomerShare share;
   policy::ServerHealth health;
@@ -63,6 +66,7 @@
   void ForgetServer(const BackendServer& server);
 
   std::uint64_t reports_ = 0;
+  ReportFilter filter_;
 };
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/peers.cc
+++ b/packages/gateway/src/peers.cc
@@ -29,11 +29,13 @@
 /// Time after which an address that was never heard is forgotten.
 constexpr Duration kForgetTime = std::chrono::seconds(120);
 /// Interval between looks at the list of gateways in the store.
-constexpr std::chrono::seconds kListInterval{10};
+constexpr std::chrono::seconds kListInterval{30};
 /// Interval between looks for peers with newer records.
 constexpr milliseconds kCopyInterval{250};
 constexpr milliseconds kCopyTimeout{1500};
 constexpr std::string_view kRecordsPath = "/records";
+/// Membership changes seldom; only every so many reports name peers.
+constexpr std::uint64_t kNamePeersEvery = 12;
 /// Addresses that one report names at most.
 constexpr std::size_t kMaxNamedPeers = 32;
 
@@ -101,6 +103,15 @@
   return static_cast<int>(std::ranges::count_if(peers_, counts)) + 1;
 }
 
+bool Peers::IsOwner(std::uint64_t key, int owners) const {
+  const std::uint64_t own = MixHash(key, StableHash(init_.settings.ip));
+  const auto before = std::ranges::count_if(peers_, [&](const auto& entry) {
+    return entry.second.is_up && !entry.second.leaving &&
+           MixHash(key, StableHash(entry.first)) > own;
+  });
+  return before < owners;
+}
+
 void Peers::Handle(std::string_view datagram, const std::string& address) {
   const auto report = wire::DecodeGatewayReport(datagram);
   if (!report.ok()) {
@@ -184,8 +195,9 @@
                                .operator_offset = init_.facts.offset(Topic::kOperator),
                                .servers_offset = init_.facts.offset(Topic::kServers),
                                .leaving = leaving_};
+    const bool name_peers = reports_++ % kNamePeersEvery == 0;
     for (const auto& [address, peer] : peers_) {
-      if (peer.is_up && report.known_peers.size() < kMaxNamedPeers) {
+      if (name_peers && peer.is_up && report.known_peers.size() < kMaxNamedPeers) {
         report.known_peers.push_back(address);
       }
     }
@@ -254,9 +266,7 @@
   if (!best.empty()) {
     return best;
   }
-  // Entries of backend servers change all the time; only old ones are worth a copy.
-  constexpr std::int64_t kServerRecordsBehind = 20;
-  offset = init_.facts.offset(Topic::kServers) + kServerRecordsBehind;
+  offset = init_.facts.offset(Topic::kServers);
   for (const auto& [address, peer] : peers_) {
     if (peer.is_up && peer.servers_offset > offset) {
       best = address;
--- a/packages/gateway/src/peers.h
+++ b/packages/gateway/src/peers.h
@@ -49,6 +49,9 @@
   [[nodiscard]] int fleet_size() const;
   /// Peers that were heard lately.
   [[nodiscard]] int live() const;
+  /// True if this gateway is one of `owners` that are chosen for `key` among those that are up.
+  /// Gateways with the same view of their peers choose the same.
+  [[nodiscard]] bool IsOwner(std::uint64_t key, int owners) const;
   [[nodiscard]] std::uint64_t sent_bytes() const { return sent_bytes_; }
 
  private:
@@ -85,6 +88,7 @@
   std::array<char, 64UL << 10U> buffer_{};
   absl::flat_hash_map<std::string, Peer> peers_;
   bool leaving_ = false;
+  std::uint64_t reports_ = 0;
   std::uint64_t sent_bytes_ = 0;
 };
 
--- a/packages/http/src/http.cc
+++ b/packages/http/src/http.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <atomic>
@@ -27,6 +28,20 @@
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
+/// Makes the kernel probe an idle connection, so that one that has gone silent breaks long before
+/// a call that waits for news times out.
+void DetectSilence(Tcp::socket& socket) {
+  constexpr int kIdleSeconds = 1;
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
+  ErrorCode ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const int fd = socket.native_handle();
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds, sizeof(kIdleSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof(kProbeSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
 beast::http::request<beast::http::string_body> ToBeast(const Request& request,
                                                        const std::string& host) {
   beast::http::request<beast::http::string_body> out;
@@ -271,6 +286,7 @@
   if (error) {
     co_return StatusOf(error, false);
   }
+  DetectSilence(stream.socket());
   auto out = ToBeast(request, address);
   co_await beast::http::async_write(stream, out, Redirect(error));
   if (error) {
--- a/packages/policy/include/lagoonwind/engine_load.h
+++ b/packages/policy/include/lagoonwind/engine_load.h
@@ -36,7 +36,7 @@
   /// Time after its last use anywhere from which on a part counts as forgotten by all engines.
   Duration part_lifetime = std::chrono::seconds(6);
   /// Silence of a peer after which what it reported last no longer counts.
-  Duration peer_timeout = std::chrono::seconds(2);
+  Duration peer_timeout = std::chrono::seconds(5);
 };
 
 /// Load of one engine as a request would meet it.
@@ -93,7 +93,7 @@
   /// The request is over. If it hadn't begun, the engine drops its prompt.
   void Ended(ServerId server, Sequence request, Time now);
 
-  /// What this gateway has sent to engines that it sent to lately.
+  /// What this gateway has sent to engines.
   [[nodiscard]] std::vector<EngineReport> Reports() const;
   /// Parts that this gateway sent since `since`.
   [[nodiscard]] std::vector<PartReport> PartsSince(Time since) const;
@@ -141,6 +141,9 @@
     /// Memory for prompts and answers; 0 if unknown.
     std::int64_t memory_tokens = 0;
     absl::flat_hash_map<Incarnation, PeerState> peers;
+    /// Sums of what peers reported last.
+    std::int64_t peers_running = 0;
+    std::int64_t peers_memory = 0;
     /// Last use of each part, by the hash of the prompt up to its end.
     absl::flat_hash_map<std::uint64_t, PartUse> parts;
   };
@@ -156,7 +159,10 @@
   [[nodiscard]] Duration ReadingTime(std::int64_t tokens) const;
   void AddUnread(Engine& engine, std::uint64_t tokens, Time now) const;
   [[nodiscard]] Unread UnreadOf(const Engine* engine, const Prompt& prompt, Time now) const;
-  [[nodiscard]] static std::int64_t RunningTokens(const Engine& engine);
+  [[nodiscard]] static std::int64_t RunningTokens(const Engine& engine) {
+    return engine.own_memory + engine.peers_memory;
+  }
+  static void TakeReport(Engine& engine, PeerState& state, const EngineReport& report, Time now);
   [[nodiscard]] bool Kept(const Engine& engine, std::uint64_t part, Time now) const;
   void LearnRate(const Running& request, Time now);
   void UsePart(Engine& engine, std::uint64_t part, Time now);
--- a/packages/policy/src/engine_load.cc
+++ b/packages/policy/src/engine_load.cc
@@ -1,8 +1,6 @@
 #include "lagoonwind/engine_load.h"
 
 #include <algorithm>
-#include <numeric>
-
 
 namespace lagoonwind::policy {
 namespace {
@@ -69,13 +67,6 @@
   return read_since < room;
 }
 
-std::int64_t EngineLoad::RunningTokens(const Engine& engine) {
-  return std::accumulate(engine.peers.begin(), engine.peers.end(), engine.own_memory,
-                         [](std::int64_t sum, const auto& peer) {
-                           return sum + peer.second.last.running_tokens;
-                         });
-}
-
 EngineLoad::Unread EngineLoad::UnreadOf(const Engine* engine, const Prompt& prompt,
                                         Time now) const {
   Unread unread;
@@ -117,11 +108,8 @@
     estimate.wait = std::max(estimate.wait,
                              duration_cast<Duration>(std::max(late, Duration{0}) * kOverdueShare));
   }
-  estimate.running = static_cast<std::int64_t>(engine->running.size());
+  estimate.running = static_cast<std::int64_t>(engine->running.size()) + engine->peers_running;
   estimate.running_tokens = RunningTokens(*engine);
-  for (const auto& [peer, state] : engine->peers) {
-    estimate.running += state.last.running;
-  }
   return estimate;
 }
 
@@ -233,12 +221,22 @@
   return parts;
 }
 
+void EngineLoad::TakeReport(Engine& engine, PeerState& state, const EngineReport& report,
+                            Time now) {
+  engine.peers_running += report.running - state.last.running;
+  engine.peers_memory += report.running_tokens - state.last.running_tokens;
+  state.last = report;
+  state.heard = now;
+}
+
 void EngineLoad::DropSilentPeers(Time now) {
   for (auto& [server, engine] : engines_) {
     for (auto& [peer, state] : engine.peers) {
-      if (now - state.heard > init_.peer_timeout) {
-        state.last.running = 0;
-        state.last.running_tokens = 0;
+      if (now - state.heard > init_.peer_timeout && state.last.running != 0) {
+        EngineReport idle = state.last;
+        idle.running = 0;
+        idle.running_tokens = 0;
+        TakeReport(engine, state, idle, state.heard);
       }
     }
   }
@@ -254,8 +252,7 @@
     if (!added && report.read_tokens > state.last.read_tokens) {
       AddUnread(engine, report.read_tokens - state.last.read_tokens, now);
     }
-    state.last = report;
-    state.heard = now;
+    TakeReport(engine, state, report, now);
   }
   for (const PartReport& part : parts) {
     UsePart(engines_[part.server], part.part, now);
--- a/packages/policy/src/send_limits.cc
+++ b/packages/policy/src/send_limits.cc
@@ -10,6 +10,10 @@
 constexpr double kUsedSlack = 0.5;
 /// Part of the retry ratio that is used; the rest covers requests that reach no backend server.
 constexpr double kUsedRatio = 0.8;
+/// Rates below this count as none, in requests a second.
+constexpr double kLeastRate = 0.001;
+/// Delay of a request that may not be sent at all.
+constexpr Duration kNever = std::chrono::hours(1);
 /// Crashes of different backend servers after which a request is quarantined.
 constexpr std::size_t kQuarantineCrashes = 2;
 /// Time for which a suspect is remembered after its last crash.
@@ -35,6 +39,9 @@
 }
 
 Duration ColdLimit::Delay(ServerId server, double rate, Time now) const {
+  if (rate < kLeastRate) {
+    return kNever;
+  }
   const auto last = last_sent_.find(server);
   if (last == last_sent_.end()) {
     return Duration{0};
