--- a/packages/gateway/src/fleet_facts.cc
+++ b/packages/gateway/src/fleet_facts.cc
@@ -150,18 +150,27 @@
   if (found == servers_.end()) {
     return;
   }
-  if (regained_ != Time{} && now - regained_ < kReregistrationTime &&
-      !found->second.server.draining) {
+  const bool store_was_away =
+      store_lost_ || (regained_ != Time{} && now - regained_ < kReregistrationTime);
+  if (store_was_away && !found->second.server.draining) {
     found->second.lapsed = now;
     return;
   }
   DropServer(key, "gone from the store");
 }
 
+void FleetFacts::StoreAnswered(Time now) {
+  if (store_lost_) {
+    store_lost_ = false;
+    regained_ = now;
+  }
+}
+
 void FleetFacts::DropLapsed(Time now) {
   std::vector<std::string> gone;
   for (const auto& [key, known] : servers_) {
-    if (known.lapsed && now - *known.lapsed >= kReregistrationTime) {
+    const Time since = std::max(regained_, known.lapsed.value_or(now));
+    if (known.lapsed && now - since >= kReregistrationTime) {
       gone.push_back(key);
     }
   }
--- a/packages/gateway/src/fleet_facts.h
+++ b/packages/gateway/src/fleet_facts.h
@@ -43,8 +43,10 @@
   void Apply(Topic topic, const RecordPage& page, bool complete, std::string_view source, Time now);
   /// Drops entries that vanished while the store was away and didn't come back.
   void DropLapsed(Time now);
-  /// The store answers again after a time without answers.
-  void StoreRegained(Time now) { regained_ = now; }
+  /// A call to the store failed.
+  void StoreFailed() { store_lost_ = true; }
+  /// A call succeeded after one that failed.
+  void StoreAnswered(Time now);
   /// The backend server broke connections as if it had restarted, so it may be cold.
   void SuspectRestart(ServerId server, Time now);
 
@@ -80,6 +82,7 @@
   absl::flat_hash_map<std::string, KnownServer> servers_;
   std::map<Topic, std::map<std::string, std::string>> records_;
   std::map<Topic, std::int64_t> offsets_;
+  bool store_lost_ = false;
   Time regained_{};
 };
 
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -26,7 +26,9 @@
     co_return absl::OkStatus();
   }
   const std::int64_t from = facts_.offset(options_.topic);
-  auto page = co_await store_.ReadFrom(options_.topic, from, options_.wait);
+  // After a failure the first answer tells that the store is back, so it isn't held.
+  const milliseconds wait = connected_ ? options_.wait : milliseconds(0);
+  auto page = co_await store_.ReadFrom(options_.topic, from, wait);
   if (absl::IsOutOfRange(page.status())) {
     complete_read_ = false;
     log_.Write(Severity::kState, "store_history_gone", {{"topic", options_.name}, {"from", from}});
@@ -48,9 +50,10 @@
   }
   connected_ = status.ok();
   if (connected_) {
-    facts_.StoreRegained(Now());
+    facts_.StoreAnswered(Now());
     log_.Write(Severity::kState, "store_regained", {{"topic", options_.name}});
   } else {
+    facts_.StoreFailed();
     log_.Write(Severity::kState, "store_lost",
                {{"topic", options_.name}, {"reason", status.ToString()}});
   }
