Make stream events, requests and reports cheaper; close new connections of a saturated gateway

Ruled out: a leak of sessions (the log shows requests being answered all the time, half of them for callers that had left).

--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -86,6 +86,14 @@
     body.data = part.data();
     body.size = part.size();
     ErrorCode error;
+    if (connection_->buffer.size() == 0) {
+      // Saves the read that finds nothing between two events of a stream.
+      co_await connection_->socket.async_wait(asio::ip::tcp::socket::wait_read,
+                                              asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        co_return StatusOf(error);
+      }
+    }
     co_await http::async_read_some(connection_->socket, connection_->buffer, *parser_,
                                    asio::redirect_error(asio::use_awaitable, error));
     if (error && error != http::error::need_buffer) {
--- a/packages/gateway/src/backend_pool.cc
+++ b/packages/gateway/src/backend_pool.cc
@@ -1,6 +1,7 @@
 #include "backend_pool.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -44,7 +45,12 @@
 }  // namespace
 
 bool IsQuiet(asio::ip::tcp::socket& socket) { return StateOf(socket) == SocketState::kQuiet; }
-bool IsClosed(asio::ip::tcp::socket& socket) { return StateOf(socket) == SocketState::kClosed; }
+bool IsClosed(asio::ip::tcp::socket& socket) {
+  // Tells a close also while bytes that came before it are unread.
+  pollfd state{.fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0};
+  const bool hung_up = poll(&state, 1, 0) == 1 && (state.revents & (POLLRDHUP | POLLHUP)) != 0;
+  return hung_up || StateOf(socket) == SocketState::kClosed;
+}
 
 BackendPool::Connection BackendPool::Take(ServerId server) {
   const auto found = idle_.find(server);
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -180,9 +180,13 @@
         co_return;
       }
       std::erase_if(sessions_, [](const auto& session) { return session.expired(); });
-      if (error || sessions_.size() >= kMaxSessions) {
+      const bool saturated = context_.monitor.saturated();
+      if (error || saturated || sessions_.size() >= kMaxSessions) {
+        // Closing unread is the cheapest way to send callers elsewhere.
         context_.log.Write(Severity::kFailure, "connection_not_taken",
-                           {{"reason", error ? error.message() : "too many connections"}});
+                           {{"reason", error       ? error.message()
+                                       : saturated ? "overloaded"
+                                                   : "too many connections"}});
         continue;
       }
       const auto session = std::make_shared<CallerSession>(context_, std::move(socket));
--- a/packages/gateway/src/gateway_metrics.cc
+++ b/packages/gateway/src/gateway_metrics.cc
@@ -44,25 +44,52 @@
                        .Register(*registry_)
                        .Add({}, kSeconds)) {}
 
+prometheus::Counter& GatewayMetrics::Cached(std::string key,
+                                            prometheus::Family<prometheus::Counter>& family,
+                                            const Labels& labels) {
+  const auto [slot, added] = counters_.try_emplace(std::move(key));
+  if (added) {
+    slot->second = &family.Add(labels);
+  }
+  return *slot->second;
+}
+
+prometheus::Histogram& GatewayMetrics::Cached(std::string key,
+                                              prometheus::Family<prometheus::Histogram>& family,
+                                              std::string_view kind) {
+  const auto [slot, added] = histograms_.try_emplace(std::move(key));
+  if (added) {
+    slot->second = &family.Add({{"kind", std::string(kind)}}, kSeconds);
+  }
+  return *slot->second;
+}
+
 void GatewayMetrics::RequestDone(std::string_view kind, std::string_view customer,
                                  std::string_view outcome, double seconds) {
-  requests_.Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}}).Increment();
-  duration_.Add({{"kind", std::string(kind)}}, kSeconds).Observe(seconds);
+  const std::string kind_text(kind);
+  const std::string outcome_text(outcome);
+  Cached("request/" + kind_text + "/" + outcome_text, requests_,
+         {{"kind", kind_text}, {"outcome", outcome_text}})
+      .Increment();
+  Cached("duration/" + kind_text, duration_, kind).Observe(seconds);
   if (customer.empty()) {
     return;
   }
-  Labels labels{{"customer", std::string(customer)}, {"outcome", std::string(outcome)}};
-  if (!customers_.Has(labels)) {
-    if (customer_series_ >= kMaxCustomerSeries) {
-      labels["customer"] = "other";
+  std::string name(customer);
+  if (!customer_names_.contains(name)) {
+    if (customer_names_.size() >= kMaxCustomerSeries) {
+      name = "other";
+    } else {
+      customer_names_.insert(name);
     }
-    ++customer_series_;
   }
-  customers_.Add(labels).Increment();
+  Cached("customer/" + name + "/" + outcome_text, customers_,
+         {{"customer", name}, {"outcome", outcome_text}})
+      .Increment();
 }
 
 void GatewayMetrics::FirstByte(std::string_view kind, double seconds) {
-  first_byte_.Add({{"kind", std::string(kind)}}, kSeconds).Observe(seconds);
+  Cached("first/" + std::string(kind), first_byte_, kind).Observe(seconds);
 }
 
 void GatewayMetrics::BeginError(double expected, double seen) {
--- a/packages/gateway/src/gateway_metrics.h
+++ b/packages/gateway/src/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
@@ -37,6 +38,14 @@
 
  private:
   std::shared_ptr<prometheus::Registry> registry_;
+  /// Looks up a counter once and remembers it by `key`.
+  prometheus::Counter& Cached(std::string key, prometheus::Family<prometheus::Counter>& family,
+                              const prometheus::Labels& labels);
+  prometheus::Histogram& Cached(std::string key, prometheus::Family<prometheus::Histogram>& family,
+                                std::string_view kind);
+
+  absl::flat_hash_map<std::string, prometheus::Counter*> counters_;
+  absl::flat_hash_map<std::string, prometheus::Histogram*> histograms_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& customers_;
   prometheus::Family<prometheus::Counter>& resent_;
@@ -44,7 +53,8 @@
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Histogram& begin_error_;
   absl::flat_hash_map<std::string, prometheus::Gauge*> gauges_;
-  std::size_t customer_series_ = 0;
+  /// Customers that have series of their own.
+  absl::flat_hash_set<std::string> customer_names_;
 };
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/loop_monitor.cc
+++ b/packages/gateway/src/loop_monitor.cc
@@ -17,12 +17,14 @@
 constexpr double kWeight = 0.2;
 /// Lateness from which on stream events are passed on in batches.
 constexpr Duration kBatchLateness = std::chrono::milliseconds(4);
+/// Lateness from which on batches are twice as long.
+constexpr Duration kLongBatchLateness = std::chrono::milliseconds(15);
 /// Lateness from which on new callers had better go elsewhere, if it lasts; and the one that ends
 /// it.
 constexpr Duration kOverloadLateness = std::chrono::milliseconds(80);
 constexpr Duration kRelaxedLateness = std::chrono::milliseconds(20);
-constexpr Duration kOverloadTime = std::chrono::milliseconds(600);
-constexpr Duration kRelaxedTime = std::chrono::milliseconds(1500);
+constexpr Duration kOverloadTime = std::chrono::milliseconds(300);
+constexpr Duration kRelaxedTime = std::chrono::milliseconds(2500);
 /// Lateness from which on new requests are refused: a good part of any objective, since each
 /// request needs several turns of the loop.
 constexpr Duration kSaturatedLateness = std::chrono::milliseconds(150);
@@ -41,7 +43,8 @@
   const bool relaxed_now = lateness_ < kRelaxedLateness;
   overloaded_since_ = late_now ? (overloaded_since_ == Time{} ? now : overloaded_since_) : Time{};
   relaxed_since_ = relaxed_now ? (relaxed_since_ == Time{} ? now : relaxed_since_) : Time{};
-  const bool begins = !overloaded_ && late_now && now - overloaded_since_ > kOverloadTime;
+  const bool begins =
+      !overloaded_ && (saturated() || (late_now && now - overloaded_since_ > kOverloadTime));
   const bool ends = overloaded_ && relaxed_now && now - relaxed_since_ > kRelaxedTime;
   if (begins || ends) {
     overloaded_ = begins;
@@ -66,6 +69,9 @@
     co_return;
   }
   boost::system::error_code ignored;
+  if (lateness_ > kLongBatchLateness) {
+    co_await batch_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
   co_await batch_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
--- a/packages/gateway/src/peers.cc
+++ b/packages/gateway/src/peers.cc
@@ -20,6 +20,8 @@
 
 /// Interval between reports; a small part of the time in which engines' queues change.
 constexpr milliseconds kReportInterval{80};
+/// Share of the interval for each peer that is up; bounds the datagrams that a gateway handles.
+constexpr milliseconds kIntervalPerPeer{6};
 /// Silence after which a peer counts as down.
 constexpr Duration kSilence = std::chrono::milliseconds(1500);
 /// Interval between reports to a peer that is down.
@@ -203,7 +205,7 @@
     }
     init_.report_wanted(report);
     SendAll(wire::EncodeGatewayReport(report), now);
-    timer.expires_after(kReportInterval);
+    timer.expires_after(std::max(kReportInterval, kIntervalPerPeer * live()));
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
