--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -26,7 +26,7 @@
 
 /// Weight of tokens that are read again although another engine keeps them, against the time to
 /// read them.
-constexpr double kRepeatedReadWeight = 2.0;
+constexpr double kRepeatedReadWeight = 4.0;
 /// Cost of leaving the engine that a prompt part is hashed to while no engine keeps the part.
 constexpr double kStrangerCost = 0.02;
 /// Cost of another availability zone.
@@ -55,10 +55,10 @@
 constexpr Duration kTokenTime = std::chrono::microseconds(9000);
 /// Part of an engine's memory that running requests may need beyond shared parts.
 constexpr double kMemoryShare = 0.8;
-/// Requests that may wait or run on an engine, as a multiple of its slots.
-constexpr double kMaxRunningPerSlot = 1.0;
-/// The same for plain services, which queue a few requests.
-constexpr double kMaxBusyPerSlot = 3.0;
+/// Part of an engine's slots that long answers leave to short ones, and the answer's length in
+/// tokens from which on it is all of that. A long answer holds its slot as long as many short ones.
+constexpr double kSlotsForShort = 0.3;
+constexpr double kLongAnswer = 256;
 /// Part of the objective that must be left for a plain request to be of use.
 constexpr double kLeastPlainTime = 0.25;
 /// Least time that callers are told to stay away.
@@ -193,7 +193,10 @@
   const double most_wait = std::max(objective - AsSeconds(kBeginOverhead + estimate.read),
                                     objective * kLeastWaitShare);
   const double wait = AsSeconds(estimate.wait);
-  const bool full = static_cast<double>(estimate.running) >= kMaxRunningPerSlot * candidate.slots ||
+  const double length =
+      std::min(static_cast<double>(request.prompt->max_output_tokens) / kLongAnswer, 1.0);
+  const bool full = static_cast<double>(estimate.running) >=
+                        (1 - kSlotsForShort * length) * candidate.slots ||
                     static_cast<double>(estimate.running_tokens) >
                         kMemoryShare * static_cast<double>(candidate.memory_tokens);
   if (wait > most_wait || full) {
