--- a/packages/policy/include/lagoonwind/dispatch.h
+++ b/packages/policy/include/lagoonwind/dispatch.h
@@ -76,6 +76,8 @@
   kOverloaded,
   /// The customer has more than its share while others wait.
   kOverShare,
+  /// The slots or the memory that the customer may use are taken.
+  kFull,
   /// The answer can't be whole in the time that is left.
   kHopeless,
 };
--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -59,6 +59,8 @@
 /// tokens from which on it is all of that. A long answer holds its slot as long as many short ones.
 constexpr double kSlotsForShort = 0.3;
 constexpr double kLongAnswer = 256;
+/// Part of an engine's slots and memory that customers beyond their share leave to light ones.
+constexpr double kSlotsForLight = 0.5;
 /// Part of the objective that must be left for a plain request to be of use.
 constexpr double kLeastPlainTime = 0.25;
 /// Least time that callers are told to stay away.
@@ -90,8 +92,8 @@
 }  // namespace
 
 std::string_view Name(DispatchVerdict verdict) {
-  constexpr std::array<std::string_view, 6> kNames{"send",       "no_server",  "cold",
-                                                   "overloaded", "over_share", "hopeless"};
+  constexpr std::array<std::string_view, 7> kNames{
+      "send", "no_server", "cold", "overloaded", "over_share", "full", "hopeless"};
   return kNames[static_cast<std::size_t>(verdict)];
 }
 
@@ -190,21 +192,22 @@
   }
   decision.usage = share_.Usage(request.customer, now);
   const double objective = AsSeconds(request.objective);
-  const double most_wait = std::max(objective - AsSeconds(kBeginOverhead + estimate.read),
-                                    objective * kLeastWaitShare);
+  const double most_wait =
+      std::max(objective - AsSeconds(kBeginOverhead + estimate.read), objective * kLeastWaitShare);
   const double wait = AsSeconds(estimate.wait);
   const double length =
       std::min(static_cast<double>(request.prompt->max_output_tokens) / kLongAnswer, 1.0);
-  const bool full = static_cast<double>(estimate.running) >=
-                        (1 - kSlotsForShort * length) * candidate.slots ||
+  const double part = UsagePart(decision.usage);
+  const double room = (1 - kSlotsForLight * (1 - part)) * (1 - kSlotsForShort * length);
+  const bool full = static_cast<double>(estimate.running) >= room * candidate.slots ||
                     static_cast<double>(estimate.running_tokens) >
-                        kMemoryShare * static_cast<double>(candidate.memory_tokens);
-  if (wait > most_wait || full) {
+                        room * kMemoryShare * static_cast<double>(candidate.memory_tokens);
+  if (wait > most_wait) {
     decision.verdict = DispatchVerdict::kOverloaded;
-  } else if (wait > most_wait * UsagePart(decision.usage)) {
+  } else if (wait > most_wait * part) {
     decision.verdict = DispatchVerdict::kOverShare;
   } else {
-    decision.verdict = DispatchVerdict::kSend;
+    decision.verdict = full ? DispatchVerdict::kFull : DispatchVerdict::kSend;
   }
   decision.retry_after = AsDuration(std::max(wait - most_wait / 2, 0.0));
 }
