--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -136,7 +136,7 @@
   co_return co_await writer_.WriteOwn(answer);
 }
 
-void CallerSession::WatchCaller(std::weak_ptr<Exchange> exchange) {
+void CallerSession::WatchCaller(const std::weak_ptr<Exchange>& exchange) {
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this(), exchange](ErrorCode error) {
                        const auto running = exchange.lock();
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -42,7 +42,7 @@
   /// Stops the present read after `limit`.
   void Limit(Duration limit);
   /// Tells the exchange when the caller closes its connection.
-  void WatchCaller(std::weak_ptr<Exchange> exchange);
+  void WatchCaller(const std::weak_ptr<Exchange>& exchange);
 
   GatewayContext& context_;
   asio::ip::tcp::socket socket_;
--- a/packages/gateway/src/event_log.cc
+++ b/packages/gateway/src/event_log.cc
@@ -82,7 +82,8 @@
   return true;
 }
 
-void EventLog::Write(Severity severity, std::string_view event, nlohmann::ordered_json fields) {
+void EventLog::Write(Severity severity, std::string_view event,
+                     const nlohmann::ordered_json& fields) {
   if (!WithinRate(severity) || !sink_->HasRoom()) {
     ++dropped_;
     return;
--- a/packages/gateway/src/event_log.h
+++ b/packages/gateway/src/event_log.h
@@ -28,7 +28,7 @@
   /// Writes one line.
   /// \param event   What happened.
   /// \param fields  What is known of it.
-  void Write(Severity severity, std::string_view event, nlohmann::ordered_json fields);
+  void Write(Severity severity, std::string_view event, const nlohmann::ordered_json& fields);
 
   /// Hands buffered lines to standard output as far as that takes them at once.
   void Flush();
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -614,8 +614,7 @@
       {"first_byte_ms",
        first_byte_at_ == Time{} ? -1.0 : Milliseconds(first_byte_at_ - accepted_.arrived)},
       {"total_ms", Milliseconds(now - accepted_.arrived)}};
-  context_.log.Write(good ? Severity::kRoutine : Severity::kFailure, "request_done",
-                     std::move(fields));
+  context_.log.Write(good ? Severity::kRoutine : Severity::kFailure, "request_done", fields);
 }
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/gateway_metrics.cc
+++ b/packages/gateway/src/gateway_metrics.cc
@@ -44,20 +44,20 @@
                        .Register(*registry_)
                        .Add({}, kSeconds)) {}
 
-prometheus::Counter& GatewayMetrics::Cached(std::string key,
+prometheus::Counter& GatewayMetrics::Cached(const std::string& key,
                                             prometheus::Family<prometheus::Counter>& family,
                                             const Labels& labels) {
-  const auto [slot, added] = counters_.try_emplace(std::move(key));
+  const auto [slot, added] = counters_.try_emplace(key);
   if (added) {
     slot->second = &family.Add(labels);
   }
   return *slot->second;
 }
 
-prometheus::Histogram& GatewayMetrics::Cached(std::string key,
+prometheus::Histogram& GatewayMetrics::Cached(const std::string& key,
                                               prometheus::Family<prometheus::Histogram>& family,
                                               std::string_view kind) {
-  const auto [slot, added] = histograms_.try_emplace(std::move(key));
+  const auto [slot, added] = histograms_.try_emplace(key);
   if (added) {
     slot->second = &family.Add({{"kind", std::string(kind)}}, kSeconds);
   }
--- a/packages/gateway/src/gateway_metrics.h
+++ b/packages/gateway/src/gateway_metrics.h
@@ -39,9 +39,11 @@
  private:
   std::shared_ptr<prometheus::Registry> registry_;
   /// Looks up a counter once and remembers it by `key`.
-  prometheus::Counter& Cached(std::string key, prometheus::Family<prometheus::Counter>& family,
+  prometheus::Counter& Cached(const std::string& key,
+                              prometheus::Family<prometheus::Counter>& family,
                               const prometheus::Labels& labels);
-  prometheus::Histogram& Cached(std::string key, prometheus::Family<prometheus::Histogram>& family,
+  prometheus::Histogram& Cached(const std::string& key,
+                                prometheus::Family<prometheus::Histogram>& family,
                                 std::string_view kind);
 
   absl::flat_hash_map<std::string, prometheus::Counter*> counters_;
--- /dev/null
+++ b/tests/unit/gateway_parts_test.cc
@@ -0,0 +1,203 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include "crash_watch.h"
+#include "event_splitter.h"
+#include "fleet_facts.h"
+#include "report_filter.h"
+
+namespace lagoonwind::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Time At(int ms) { return Time{seconds(100)} + milliseconds(ms); }
+
+/// Decodes `VERSION` as a configuration and `SERVICE BORN SEQUENCE STATE` as a backend server.
+class TextCodec final : public RecordCodec {
+ public:
+  [[nodiscard]] absl::StatusOr<OperatorChange> DecodeOperatorRecord(
+      const Record& record) const override {
+    if (record.key != "config") {
+      return OperatorChange{.evacuated_zone = record.key,
+                            .evacuation_ended = !record.value.has_value()};
+    }
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = std::stoll(*record.value);
+    return OperatorChange{.configuration = configuration};
+  }
+
+  [[nodiscard]] absl::StatusOr<BackendServer> DecodeServer(const Record& record) const override {
+    if (*record.value == "odd") {
+      return absl::InvalidArgumentError("odd");
+    }
+    BackendServer server{.name = record.key, .service = "s", .zone = "z"};
+    const std::string& text = *record.value;
+    server.born_ms = text[0] - '0';
+    server.sequence = text[1] - '0';
+    server.draining = text.ends_with('d');
+    server.id = HandleOf<ServerId>(record.key + text.substr(0, 1));
+    return server;
+  }
+};
+
+struct World {
+  void Put(Topic topic, const std::string& key, const std::string& value, Time now) {
+    facts.Apply(topic, {.records = {{.key = key, .value = value}}, .next_offset = ++offset}, false,
+                "test", now);
+  }
+  void Delete(const std::string& key, Time now) {
+    facts.Apply(Topic::kServers, {.records = {{.key = key}}, .next_offset = ++offset}, false,
+                "test", now);
+  }
+  [[nodiscard]] std::size_t usable() const { return facts.Usable("s").size(); }
+
+  TextCodec codec;
+  EventLog log{"test"};
+  FleetFacts facts{codec, log};
+  std::int64_t offset = 0;
+};
+
+}  // namespace
+
+TEST_CASE("configurations never go back") {
+  World world;
+  CHECK(world.facts.configuration() == nullptr);
+  world.Put(Topic::kOperator, "config", "5", At(0));
+  world.Put(Topic::kOperator, "config", "4", At(1));
+  CHECK(world.facts.configuration()->version == 5);
+  world.Put(Topic::kOperator, "config", "9", At(2));
+  CHECK(world.facts.configuration()->version == 9);
+}
+
+TEST_CASE("records of an older offset are ignored") {
+  World world;
+  world.offset = 10;
+  world.Put(Topic::kServers, "i-1", "11", At(0));
+  const RecordPage old{.records = {{.key = "i-1"}}, .next_offset = 3};
+  world.facts.Apply(Topic::kServers, old, true, "peer", At(1));
+  CHECK(world.usable() == 1);
+}
+
+TEST_CASE("draining, evacuated and unreadable backend servers aren't used") {
+  World world;
+  world.Put(Topic::kServers, "i-1", "11", At(0));
+  world.Put(Topic::kServers, "i-2", "11", At(0));
+  world.Put(Topic::kServers, "i-3", "odd", At(0));
+  CHECK(world.usable() == 2);
+  world.Put(Topic::kServers, "i-1", "12d", At(1));
+  CHECK(world.usable() == 1);
+  // An old description doesn't bring it back.
+  world.Put(Topic::kServers, "i-1", "11", At(2));
+  CHECK(world.usable() == 1);
+  world.Put(Topic::kOperator, "z", "{}", At(3));
+  CHECK(world.usable() == 0);
+  world.facts.Apply(Topic::kOperator, {.records = {{.key = "z"}}, .next_offset = ++world.offset},
+                    false, "test", At(4));
+  REQUIRE(world.usable() == 1);
+  // They may have become cold meanwhile.
+  CHECK(world.facts.Usable("s")[0]->cold_until > At(1000));
+}
+
+TEST_CASE("a restart under the same name is another backend server") {
+  World world;
+  int gone = 0;
+  world.facts.OnServerGone([&](const BackendServer&) { ++gone; });
+  world.Put(Topic::kServers, "i-1", "19", At(0));
+  world.Put(Topic::kServers, "i-1", "21", At(1));
+  CHECK(gone == 1);
+  REQUIRE(world.usable() == 1);
+  CHECK(world.facts.Usable("s")[0]->server.born_ms == 2);
+  world.Put(Topic::kServers, "i-1", "19", At(2));
+  CHECK(world.facts.Usable("s")[0]->server.born_ms == 2);
+}
+
+TEST_CASE("an entry that vanishes is gone at once, unless the store was away") {
+  World world;
+  world.Put(Topic::kServers, "i-1", "11", At(0));
+  world.Delete("i-1", At(1));
+  CHECK(world.usable() == 0);
+
+  world.Put(Topic::kServers, "i-1", "12", At(2));
+  world.Put(Topic::kServers, "i-2", "11", At(2));
+  world.facts.StoreFailed();
+  world.facts.StoreAnswered(At(1000));
+  world.Delete("i-1", At(1100));
+  world.Delete("i-2", At(1100));
+  CHECK(world.usable() == 2);
+  world.Put(Topic::kServers, "i-2", "12", At(2000));
+  world.facts.DropLapsed(At(3300));
+  CHECK(world.usable() == 1);
+  // Long after the return of the store a vanished entry is gone at once again, however often the
+  // two followers noticed the return.
+  world.facts.StoreAnswered(At(4400));
+  world.Delete("i-2", At(4500));
+  CHECK(world.usable() == 0);
+}
+
+TEST_CASE("a complete read drops what it doesn't list") {
+  World world;
+  world.Put(Topic::kServers, "i-1", "11", At(0));
+  world.Put(Topic::kServers, "i-2", "11", At(0));
+  const RecordPage page{.records = {{.key = "i-2", .value = "11"}}, .next_offset = 50};
+  world.facts.Apply(Topic::kServers, page, true, "store", At(1));
+  REQUIRE(world.usable() == 1);
+  CHECK(world.facts.Usable("s")[0]->server.name == "i-2");
+}
+
+TEST_CASE("streams are cut into whole events, wherever reads end") {
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\nid: 3\nda";
+  for (std::size_t part = 1; part < stream.size(); ++part) {
+    EventSplitter splitter;
+    std::string out;
+    for (std::size_t at = 0; at < stream.size(); at += part) {
+      out += splitter.Add(std::string_view(stream).substr(at, part));
+    }
+    CHECK(out == stream.substr(0, stream.rfind("id: 3")));
+    CHECK(splitter.rest() == "id: 3\nda");
+    CHECK(splitter.last_id() == "2");
+    splitter.DropRest();
+    CHECK(splitter.rest().empty());
+  }
+}
+
+TEST_CASE("reports leave out what hasn't changed, but for repeats") {
+  ReportFilter filter;
+  const auto report = [&](std::uint64_t tokens) {
+    wire::GatewayReport out;
+    out.engines.push_back({.server = ServerId{1}, .read_tokens = tokens});
+    out.customers.push_back({.customer = CustomerId{1}, .asked_tokens = tokens});
+    filter.Apply(out);
+    return out.engines.size() + out.customers.size();
+  };
+  CHECK(report(1) == 2);
+  CHECK(report(1) == 0);
+  CHECK(report(2) == 2);
+  std::size_t repeated = 0;
+  for (int i = 0; i < 30; ++i) {
+    repeated += report(2);
+  }
+  CHECK(repeated == 2);
+}
+
+TEST_CASE("only broken connections of a crash make suspects") {
+  EventLog log("test");
+  policy::CrashSuspects suspects;
+  CrashWatch watch(suspects, log);
+  const Digest digest{1};
+  watch.Broke(ServerId{1}, digest, At(0));
+  CHECK(suspects.CrashesSince(At(0)).empty());
+  watch.Refused(ServerId{2}, At(10));
+  CHECK(suspects.CrashesSince(At(0)).empty());
+  watch.Refused(ServerId{1}, At(10));
+  CHECK(suspects.CrashesSince(At(0)).size() == 1);
+  watch.Broke(ServerId{2}, digest, At(100));
+  watch.Restarted(ServerId{2}, At(4000));
+  CHECK(suspects.Quarantined(digest, At(4001)));
+}
+
+}  // namespace lagoonwind::gateway
--- /dev/null
+++ b/tests/unit/send_limits_test.cc
@@ -0,0 +1,100 @@
+#include "lagoonwind/send_limits.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <chrono>
+#include <cmath>
+
+#include "lagoonwind/customer_share.h"
+
+namespace lagoonwind::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Time At(int ms) { return Time{seconds(100)} + milliseconds(ms); }
+
+}  // namespace
+
+TEST_CASE("water filling gives the max-min level") {
+  const std::array<double, 3> demands{10, 50, 100};
+  CHECK(MaxMinLevel(demands, 90) == doctest::Approx(40));
+  CHECK(MaxMinLevel(demands, 15) == doctest::Approx(5));
+  CHECK(std::isinf(MaxMinLevel(demands, 160)));
+  CHECK(std::isinf(MaxMinLevel({}, 0)));
+}
+
+TEST_CASE("a windowed sum forgets what is older than its window") {
+  WindowedSum sum(seconds(4));
+  sum.Add(5, At(0));
+  sum.Add(7, At(1000));
+  CHECK(sum.Sum(At(1000)) == 12);
+  CHECK(sum.Sum(At(4500)) == 7);
+  CHECK(sum.Sum(At(9000)) == 0);
+}
+
+TEST_CASE("shares count what all gateways admitted, repeated reports once") {
+  CustomerShare share(seconds(4));
+  const CustomerId hot{1};
+  const CustomerId light{2};
+  const Incarnation peer{9};
+  const CustomerReport before{.customer = hot, .asked_tokens = 1000, .admitted_tokens = 1000};
+  share.PeerReported(peer, std::span(&before, 1), At(0));
+  const CustomerReport after{.customer = hot, .asked_tokens = 91000, .admitted_tokens = 10000};
+  share.PeerReported(peer, std::span(&after, 1), At(100));
+  share.PeerReported(peer, std::span(&after, 1), At(120));
+  share.Asked(light, 1000, At(100));
+  share.Admitted(light, 1000, At(100));
+  CHECK(share.Usage(hot, At(200)) == doctest::Approx(1));
+  CHECK(share.Usage(light, At(200)) == doctest::Approx(1.0 / 9));
+  CHECK(share.Usage(CustomerId{3}, At(200)) == 0);
+  CHECK(share.Usage(hot, At(9000)) == 0);
+}
+
+TEST_CASE("repeated sends stay within the fleet's budget whatever the gateways know") {
+  // Four gateways that lose sight of each other use their parts only.
+  const RetryBudgetInit init{.ratio = 0.2, .slack = 54, .window = seconds(10)};
+  int repeats = 0;
+  int requests = 0;
+  for (int gateway = 0; gateway < 4; ++gateway) {
+    RetryBudget budget(init);
+    for (int ms = 0; ms < 9000; ms += 10) {
+      budget.Request(At(ms));
+      ++requests;
+      repeats += budget.TryRepeat(4, At(ms)) ? 1 : 0;
+    }
+  }
+  CHECK(repeats > 0.1 * requests);
+  CHECK(repeats <= 0.2 * requests + 54);
+}
+
+TEST_CASE("a cold backend server gets requests at the stated rate") {
+  ColdLimit cold;
+  const ServerId server{1};
+  int sent = 0;
+  for (int ms = 0; ms < 2000; ++ms) {
+    if (cold.Delay(server, 5, At(ms)) == Duration{0}) {
+      cold.Sent(server, At(ms));
+      ++sent;
+    }
+  }
+  CHECK(sent == 10);
+  CHECK(cold.Delay(server, 0, At(100000)) > seconds(1));
+}
+
+TEST_CASE("a request is quarantined once it has crashed two backend servers") {
+  CrashSuspects suspects;
+  const Digest digest{5};
+  suspects.Crashed(digest, ServerId{1}, At(0));
+  suspects.Crashed(digest, ServerId{1}, At(1));
+  CHECK(!suspects.Quarantined(digest, At(2)));
+  suspects.PeerCrashed({.digest = digest, .server = ServerId{2}}, At(3));
+  CHECK(suspects.Quarantined(digest, At(4)));
+  CHECK(!suspects.Quarantined(Digest{6}, At(4)));
+  CHECK(suspects.CrashesSince(At(0)).size() == 2);
+  CHECK(!suspects.Quarantined(digest, At(4) + seconds(300)));
+}
+
+}  // namespace lagoonwind::policy
--- /dev/null
+++ b/tests/unit/users_platform_test.cc
@@ -0,0 +1,255 @@
+#include "lagoonwind/users_platform.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+
+namespace lagoonwind::users_platform {
+namespace {
+
+using gateway::Record;
+
+constexpr const char* kSettings = R"({
+  "node_name": "edge-1", "zone": "z1", "ip": "127.0.0.9", "unknown": 1,
+  "listen": {"front": "127.0.0.9:1000", "ready": "127.0.0.9:1001"},
+  "port_range": [7400, 7415], "seeds": ["127.0.0.8:99", "127.0.0.9:99"],
+  "limits": {"ram_mb": 110}, "bounds": {"retry_ratio": 0.3, "retry_slack": 54, "grace_s": 6},
+  "platform": {"addr": "127.0.0.1:5"}})";
+
+constexpr const char* kConfiguration = R"({"version": 7,
+  "routes": [
+    {"name": "a", "host": "h", "path_prefix": "/x/", "type": "streaming", "timeout_ms": 5000,
+     "slo_ms": 600, "backends": [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}],
+     "max_attempts": 2, "resumable": true},
+    {"name": "b", "host": "h", "path_prefix": "/x/y/", "type": "mutating", "timeout_ms": 1000,
+     "slo_ms": 300, "backend": "t", "public": true}],
+  "services": [{"name": "s", "max_conns": 360, "cold_s": 3.0, "cold_per_s": 13.0,
+                "engine": {"slots": 64, "kv_capacity": 1000}}, {"name": "t"}],
+  "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000, "tokens_per_s": 5},
+  "tenants": [{"name": "c", "api_keys": ["k1", "k2"]}]})";
+
+gateway::RequestHead Head() {
+  gateway::RequestHead head;
+  head.method_string("POST");
+  head.target("/x/1?q=2");
+  head.set("Host", "h");
+  head.set("X-Attempt-Id", "id1");
+  head.set("Authorization", "Bearer k1");
+  head.set("X-Deadline-Ms", "1500");
+  head.set("X-Token-Usage", "1460,80");
+  head.set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  return head;
+}
+
+std::string BigEndian(std::uint64_t value, int bytes) {
+  std::string out;
+  for (int i = bytes - 1; i >= 0; --i) {
+    out.push_back(static_cast<char>(value >> (8 * i)));
+  }
+  return out;
+}
+
+std::string LogBody(std::uint64_t end, std::uint64_t oldest, const std::string& records) {
+  return BigEndian(end, 8) + BigEndian(oldest, 8) + records;
+}
+
+}  // namespace
+
+TEST_CASE("settings are decoded, and faults name their key") {
+  const auto settings = DecodeSettings(kSettings);
+  REQUIRE(settings.ok());
+  CHECK(settings->name == "edge-1");
+  CHECK(settings->caller_listen == "127.0.0.9:1000");
+  CHECK(settings->peer_port == 7400);
+  CHECK(settings->seeds == std::vector<std::string>{"127.0.0.8", "127.0.0.9"});
+  CHECK(settings->memory_bytes == 110UL << 20U);
+  CHECK(settings->retry_ratio == 0.3);
+  CHECK(settings->shutdown_grace == std::chrono::seconds(6));
+  CHECK(settings->store_address == "127.0.0.1:5");
+  CHECK(!DecodeSettings("{").ok());
+  CHECK(!DecodeSettings("[]").ok());
+  std::string text(kSettings);
+  text.replace(text.find("\"zone\": \"z1\""), 12, "\"zone\": 5");
+  const auto wrong = DecodeSettings(text);
+  REQUIRE(!wrong.ok());
+  CHECK(wrong.status().message().find("settings.zone isn't a text") != std::string::npos);
+}
+
+TEST_CASE("configurations are decoded with the longest prefix first") {
+  const auto codec = MakeRecordCodec();
+  const auto change = codec->DecodeOperatorRecord({.key = "config", .value = kConfiguration});
+  REQUIRE(change.ok());
+  const auto& configuration = *change->configuration;
+  CHECK(configuration.version == 7);
+  const auto route = configuration.FindRoute("h", "/x/1");
+  REQUIRE(route != nullptr);
+  CHECK(route->name == "a");
+  CHECK(route->repeatable());
+  CHECK(route->services.size() == 2);
+  CHECK(configuration.FindRoute("h", "/x/y/z")->name == "b");
+  CHECK(configuration.FindRoute("h", "/z/") == nullptr);
+  CHECK(configuration.FindRoute("other", "/x/1") == nullptr);
+  CHECK(configuration.customers.at("k2") == "c");
+  CHECK(configuration.limits.max_body_bytes == 2000);
+  CHECK(configuration.services.at("s").engine->memory_tokens == 1000);
+  CHECK(!configuration.services.at("t").engine);
+}
+
+TEST_CASE("operators' records that aren't understood are errors") {
+  const auto codec = MakeRecordCodec();
+  for (const char* text :
+       {"", "{", "[]", "{\"version\":1,\"routes\":[{}]}", "{\"routes\":[]}",
+        R"({"version":1,"routes":[{"name":"a","host":"h","path_prefix":"/","type":"odd",
+            "timeout_ms":1,"backend":"s"}]})",
+        R"({"version":1,"tenants":[{"name":5}]})"}) {
+    CHECK(!codec->DecodeOperatorRecord({.key = "config", .value = text}).ok());
+  }
+}
+
+TEST_CASE("evacuations begin with a value and end without") {
+  const auto codec = MakeRecordCodec();
+  const auto begin = codec->DecodeOperatorRecord({.key = "evacuate/z1", .value = "{}"});
+  CHECK(begin->evacuated_zone == "z1");
+  CHECK(!begin->evacuation_ended);
+  CHECK(codec->DecodeOperatorRecord({.key = "evacuate/z1"})->evacuation_ended);
+}
+
+TEST_CASE("entries of other writers name no backend server") {
+  const auto codec = MakeRecordCodec();
+  const std::string good =
+      R"({"backend":"s","addr":"1.2.3.4:5","zone":"z","slots":64,"state":"ready",
+          "cold_left_ms":100,"seq":4,"born":1700000000000})";
+  const auto server = codec->DecodeServer({.key = "i-1", .value = good});
+  REQUIRE(server.ok());
+  CHECK(server->name == "i-1");
+  CHECK(server->cold_left == std::chrono::milliseconds(100));
+  CHECK(server->born_ms == 1700000000000);
+  std::string later = good;
+  later.replace(later.find("1700000000000"), 13, "1700000000001");
+  CHECK(codec->DecodeServer({.key = "i-1", .value = later})->id != server->id);
+  for (const char* text :
+       {"", "\xff\xfe", "5", "{}", R"({"backend":"s","addr":"a","zone":"z","state":"odd","seq":1})",
+        R"({"backend":5,"addr":"a","zone":"z","state":"ready","seq":1})",
+        R"({"backend":"s","addr":"a","zone":"z","state":"ready","seq":"1"})"}) {
+    CHECK(!codec->DecodeServer({.key = "i-2", .value = text}).ok());
+  }
+}
+
+TEST_CASE("requests are decoded, and ambiguous ones refused") {
+  const auto codec = MakeHeaderCodec();
+  const auto request = codec->DecodeRequest(Head());
+  REQUIRE(request.ok());
+  CHECK(request->id == "id1");
+  CHECK(request->path == "/x/1");
+  CHECK(request->api_key == "k1");
+  CHECK(request->patience == std::chrono::milliseconds(1500));
+  REQUIRE(request->prompt);
+  CHECK(request->prompt->input_tokens == 1460);
+  CHECK(request->prompt->max_output_tokens == 80);
+  CHECK(request->prompt->parts.size() == 3);
+  for (const auto& [name, value] :
+       std::vector<std::pair<const char*, const char*>>{{"X-Deadline-Ms", "soon"},
+                                                        {"X-Deadline-Ms", "-1"},
+                                                        {"X-Token-Usage", "1460"},
+                                                        {"X-Token-Usage", "1,-2"},
+                                                        {"X-Prompt-Prefix", "5c1e07a2"},
+                                                        {"X-Prompt-Prefix", "5c1e07a2:-1"}}) {
+    auto head = Head();
+    head.set(name, value);
+    CHECK(!codec->DecodeRequest(head).ok());
+  }
+  for (const char* name : {"X-Attempt-Id", "Authorization", "Host", "X-Token-Usage"}) {
+    auto head = Head();
+    head.insert(name, "other");
+    CHECK(!codec->DecodeRequest(head).ok());
+  }
+}
+
+TEST_CASE("what the system sets never comes from callers, and keys stay here") {
+  const auto codec = MakeHeaderCodec();
+  auto head = Head();
+  for (const char* name : {"X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Tenant",
+                           "x-expect-instance", "X-Expect-Version"}) {
+    head.set(name, "forged");
+  }
+  head.set("Connection", "X-Token-Usage");
+  head.set("X-Other", "kept");
+  const auto out = codec->EncodeForward(head, {.customer = "c",
+                                               .expected_server = "i-1",
+                                               .time_left = std::chrono::milliseconds(900),
+                                               .last_event_id = "4"});
+  CHECK(out["X-Tenant"] == "c");
+  CHECK(out["X-Expect-Instance"] == "i-1");
+  CHECK(out["X-Deadline-Ms"] == "900");
+  CHECK(out["Last-Event-Id"] == "4");
+  CHECK(out["X-Other"] == "kept");
+  CHECK(out["X-Attempt-Id"] == "id1");
+  CHECK(out["X-Token-Usage"] == "1460,80");
+  CHECK(out.target() == "/x/1?q=2");
+  for (const char* name : {"Authorization", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
+                           "Kv-Fetch", "X-Expect-Version", "Connection"}) {
+    CHECK(out.count(name) == 0);
+  }
+}
+
+TEST_CASE("answers are decoded") {
+  const auto codec = MakeHeaderCodec();
+  gateway::AnswerHead head;
+  head.result(503);
+  head.set("X-Not-Run", "1");
+  head.set("Keep-Alive", "max=5, timeout=12");
+  const auto refused = codec->DecodeAnswer(head);
+  CHECK(refused.not_run);
+  CHECK(!refused.is_signed);
+  CHECK(refused.keep_alive == std::chrono::seconds(12));
+  head.result(421);
+  head.set("Keep-Alive", "timeout=x");
+  CHECK(codec->DecodeAnswer(head).wrong_server);
+  CHECK(codec->DecodeAnswer(head).keep_alive == std::chrono::milliseconds(0));
+}
+
+TEST_CASE("log reads are decoded whole or not at all") {
+  const Record first{.key = "k", .value = "v"};
+  const Record gone{.key = "g"};
+  const std::string body = LogBody(12, 3, EncodeLogRecord(first) + EncodeLogRecord(gone));
+  const auto page = DecodeLogRead(body, 10);
+  REQUIRE(page.ok());
+  CHECK(page->next_offset == 12);
+  REQUIRE(page->records.size() == 2);
+  CHECK(page->records[0].value == "v");
+  CHECK(!page->records[1].value);
+  CHECK(absl::IsOutOfRange(DecodeLogRead(body, 2).status()));
+  CHECK(!DecodeLogRead(body, 11).ok());
+  CHECK(DecodeLogRead(LogBody(5, 0, ""), 5)->records.empty());
+  for (std::size_t cut = 1; cut < body.size(); ++cut) {
+    const auto part = DecodeLogRead(std::string_view(body).substr(0, cut), 10);
+    CHECK((!part.ok() || part->records.size() < 2));
+  }
+}
+
+TEST_CASE("mutated records and requests never crash the decoders") {
+  std::mt19937_64 random(17);
+  const auto records = MakeRecordCodec();
+  const auto headers = MakeHeaderCodec();
+  for (int i = 0; i < 3000; ++i) {
+    std::string text(kConfiguration);
+    for (int flips = 0; flips < 3; ++flips) {
+      text[random() % text.size()] = static_cast<char>(random());
+    }
+    const Record record{.key = "config", .value = text};
+    (void)records->DecodeOperatorRecord(record).ok();
+    (void)records->DecodeServer(record).ok();
+    (void)DecodeSettings(text).ok();
+    std::string body(random() % 60, '\0');
+    for (char& byte : body) {
+      byte = static_cast<char>(random() % 4);
+    }
+    (void)DecodeLogRead(body, static_cast<std::int64_t>(random() % 3)).ok();
+    auto head = Head();
+    head.set("X-Prompt-Prefix", text.substr(random() % 100, random() % 40));
+    (void)headers->DecodeRequest(head).ok();
+  }
+}
+
+}  // namespace lagoonwind::users_platform
