Tell a store that was away from one that was only out of reach

Ruled out: late records (the other gateways dropped the entry within 20 ms). Reports now say for how long the store has answered, and lapsed entries are looked for on a timer.

--- a/packages/gateway/src/fleet_facts.cc
+++ b/packages/gateway/src/fleet_facts.cc
@@ -9,6 +9,10 @@
 
 /// Time after the store's return in which backend servers whose entries lapsed register again.
 constexpr Duration kReregistrationTime = std::chrono::milliseconds(2200);
+/// Time for which a peer's calls must have been answered to show that the store wasn't away.
+constexpr Duration kSteadyTime = std::chrono::seconds(6);
+/// Time for which a peer's word on the store counts.
+constexpr Duration kPeerWordLifetime = std::chrono::seconds(1);
 /// Time for which a backend server that seems to have restarted is treated as cold, unless its
 /// service states how long it takes to warm up.
 constexpr Duration kDefaultColdTime = std::chrono::seconds(3);
@@ -39,6 +43,10 @@
 
 void FleetFacts::Apply(Topic topic, const RecordPage& page, bool complete, std::string_view source,
                        Time now) {
+  if (offsets_.empty()) {
+    // Nothing is known of the store before the first answer.
+    regained_ = now;
+  }
   std::int64_t& offset = offsets_[topic];
   if (page.next_offset < offset) {
     return;
@@ -150,9 +158,7 @@
   if (found == servers_.end()) {
     return;
   }
-  const bool store_was_away =
-      store_lost_ || (regained_ != Time{} && now - regained_ < kReregistrationTime);
-  if (store_was_away && !found->second.server.draining) {
+  if (StoreWasAway(now) && !found->second.server.draining) {
     found->second.lapsed = now;
     return;
   }
@@ -166,11 +172,25 @@
   }
 }
 
+Duration FleetFacts::StoreSteady(Time now) const {
+  return store_lost_ || offsets_.empty() ? Duration{0} : now - regained_;
+}
+
+void FleetFacts::PeerSawStore(Duration steady, Time now) {
+  if (steady >= kSteadyTime) {
+    steady_elsewhere_ = now;
+  }
+}
+
+bool FleetFacts::StoreWasAway(Time now) const {
+  const bool unsteady = store_lost_ || StoreSteady(now) < kReregistrationTime;
+  return unsteady && now - steady_elsewhere_ > kPeerWordLifetime;
+}
+
 void FleetFacts::DropLapsed(Time now) {
   std::vector<std::string> gone;
   for (const auto& [key, known] : servers_) {
-    const Time since = std::max(regained_, known.lapsed.value_or(now));
-    if (known.lapsed && now - since >= kReregistrationTime) {
+    if (known.lapsed && !StoreWasAway(now)) {
       gone.push_back(key);
     }
   }
--- a/packages/gateway/src/fleet_facts.h
+++ b/packages/gateway/src/fleet_facts.h
@@ -47,6 +47,10 @@
   void StoreFailed() { store_lost_ = true; }
   /// A call succeeded after one that failed.
   void StoreAnswered(Time now);
+  /// Time for which the store has answered all calls; zero while it doesn't.
+  [[nodiscard]] Duration StoreSteady(Time now) const;
+  /// A peer's calls to the store have all been answered for `steady`.
+  void PeerSawStore(Duration steady, Time now);
   /// The backend server broke connections as if it had restarted, so it may be cold.
   void SuspectRestart(ServerId server, Time now);
 
@@ -66,6 +70,8 @@
   [[nodiscard]] std::size_t server_count() const { return servers_.size(); }
 
  private:
+  /// True if entries may have vanished because the store was away, and not only out of reach.
+  [[nodiscard]] bool StoreWasAway(Time now) const;
   void ApplyOperatorRecord(const Record& record, std::string_view source, Time now);
   void ApplyServerRecord(const Record& record, Time now);
   void LapseServer(const std::string& key, Time now);
@@ -84,6 +90,8 @@
   std::map<Topic, std::int64_t> offsets_;
   bool store_lost_ = false;
   Time regained_{};
+  /// When a peer last said that the store had been there all the time.
+  Time steady_elsewhere_{};
 };
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -27,8 +27,8 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 
-/// Interval at which buffered log lines are handed on.
-constexpr milliseconds kLogFlushInterval{100};
+/// Interval at which log lines are handed on and lapsed entries looked for.
+constexpr milliseconds kHousekeepingInterval{100};
 /// Longest time for which the store holds a call without news. Keep-alive probes tell sooner if the
 /// connection has gone silent.
 constexpr milliseconds kStoreWait{6000};
@@ -101,7 +101,7 @@
     Spawn(io_, context_.log, "metrics", ServeMetrics());
     Spawn(io_, context_.log, "accept", AcceptCallers());
     Spawn(io_, context_.log, "loop_monitor", context_.monitor.Run());
-    Spawn(io_, context_.log, "flush_log", FlushLog());
+    Spawn(io_, context_.log, "housekeeping", KeepHouse());
     Spawn(io_, context_.log, "signals", AwaitSignal());
     Spawn(io_, context_.log, "reload", AwaitReload());
     return absl::OkStatus();
@@ -195,11 +195,12 @@
     }
   }
 
-  asio::awaitable<void> FlushLog() {
+  asio::awaitable<void> KeepHouse() {
     asio::steady_timer timer(io_);
     for (;;) {
+      context_.facts.DropLapsed(Now());
       context_.log.Flush();
-      timer.expires_after(kLogFlushInterval);
+      timer.expires_after(kHousekeepingInterval);
       co_await timer.async_wait(asio::use_awaitable);
     }
   }
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -64,7 +64,6 @@
   for (;;) {
     const absl::Status status = co_await ReadOnce();
     Note(status);
-    facts_.DropLapsed(Now());
     timer.expires_after(status.ok() ? options_.pause : kRetryPause);
     co_await timer.async_wait(asio::use_awaitable);
   }
--- a/packages/http/src/http.cc
+++ b/packages/http/src/http.cc
@@ -110,6 +110,9 @@
   head.version(kHttp11);
   head.result(answer.status);
   head.set(beast::http::field::content_type, answer.content_type);
+  for (const auto& field : answer.fields) {
+    head.set(field.name, field.value);
+  }
   head.chunked(true);
   beast::http::response_serializer<beast::http::empty_body> serializer{head};
   ErrorCode error;
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -5728,6 +5728,10 @@
 void GatewayReport::__set_crashes(const std::vector<CrashReport> & val) {
   this->crashes = val;
 }
+
+void GatewayReport::__set_store_steady_ms(const int64_t val) {
+  this->store_steady_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayReport& obj)
 {
   obj.printTo(out);
@@ -5888,6 +5892,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_steady_ms);
+          this->__isset.store_steady_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5981,6 +5993,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_steady_ms", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->store_steady_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5997,6 +6013,7 @@
   swap(a.parts, b.parts);
   swap(a.customers, b.customers);
   swap(a.crashes, b.crashes);
+  swap(a.store_steady_ms, b.store_steady_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -6010,6 +6027,7 @@
   parts = other192.parts;
   customers = other192.customers;
   crashes = other192.crashes;
+  store_steady_ms = other192.store_steady_ms;
   __isset = other192.__isset;
 }
 GatewayReport::GatewayReport(GatewayReport&& other193) noexcept {
@@ -6022,6 +6040,7 @@
   parts = std::move(other193.parts);
   customers = std::move(other193.customers);
   crashes = std::move(other193.crashes);
+  store_steady_ms = other193.store_steady_ms;
   __isset = other193.__isset;
 }
 GatewayReport& GatewayReport::operator=(const GatewayReport& other194) {
@@ -6034,6 +6053,7 @@
   parts = other194.parts;
   customers = other194.customers;
   crashes = other194.crashes;
+  store_steady_ms = other194.store_steady_ms;
   __isset = other194.__isset;
   return *this;
 }
@@ -6047,6 +6067,7 @@
   parts = std::move(other195.parts);
   customers = std::move(other195.customers);
   crashes = std::move(other195.crashes);
+  store_steady_ms = other195.store_steady_ms;
   __isset = other195.__isset;
   return *this;
 }
@@ -6062,6 +6083,7 @@
   out << ", " << "parts=" << to_string(parts);
   out << ", " << "customers=" << to_string(customers);
   out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "store_steady_ms=" << to_string(store_steady_ms);
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -2280,7 +2280,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _GatewayReport__isset {
-  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false) {}
+  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false), store_steady_ms(false) {}
   bool incarnation :1;
   bool operator_offset :1;
   bool servers_offset :1;
@@ -2290,6 +2290,7 @@
   bool parts :1;
   bool customers :1;
   bool crashes :1;
+  bool store_steady_ms :1;
 } _GatewayReport__isset;
 
 class GatewayReport : public virtual ::apache::thrift::TBase {
@@ -2303,7 +2304,8 @@
                 : incarnation(0),
                   operator_offset(0),
                   servers_offset(0),
-                  leaving(0) {
+                  leaving(0),
+                  store_steady_ms(0) {
   }
 
   virtual ~GatewayReport() noexcept;
@@ -2316,6 +2318,7 @@
   std::vector<PromptPartReport>  parts;
   std::vector<CustomerShareReport>  customers;
   std::vector<CrashReport>  crashes;
+  int64_t store_steady_ms;
 
   _GatewayReport__isset __isset;
 
@@ -2337,6 +2340,8 @@
 
   void __set_crashes(const std::vector<CrashReport> & val);
 
+  void __set_store_steady_ms(const int64_t val);
+
   bool operator == (const GatewayReport & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -2357,6 +2362,8 @@
       return false;
     if (!(crashes == rhs.crashes))
       return false;
+    if (!(store_steady_ms == rhs.store_steady_ms))
+      return false;
     return true;
   }
   bool operator != (const GatewayReport &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -272,4 +272,6 @@
   7: list<PromptPartReport> parts
   8: list<CustomerShareReport> customers
   9: list<CrashReport> crashes
+  // Time for which the store has answered all calls; 0 while it doesn't.
+  10: i64 store_steady_ms
 }
--- a/packages/wire/include/lagoonwind/gateway_report.h
+++ b/packages/wire/include/lagoonwind/gateway_report.h
@@ -2,6 +2,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -20,6 +21,8 @@
   /// Offsets up to which the sender knows the store's topics.
   std::int64_t operator_offset = 0;
   std::int64_t servers_offset = 0;
+  /// Time for which the store has answered all of the sender's calls; zero while it doesn't.
+  std::chrono::milliseconds store_steady{0};
   /// True if the sender is about to stop.
   bool leaving = false;
   /// IP addresses of other gateways.
--- a/packages/wire/src/gateway_report.cc
+++ b/packages/wire/src/gateway_report.cc
@@ -98,6 +98,7 @@
   out.incarnation = Signed(report.sender.value);
   out.operator_offset = report.operator_offset;
   out.servers_offset = report.servers_offset;
+  out.store_steady_ms = report.store_steady.count();
   out.leaving = report.leaving;
   out.known_peers = report.known_peers;
   out.engines = ListToWire<gen::EngineLoadReport>(report.engines);
@@ -124,6 +125,7 @@
   return GatewayReport{.sender = {Unsigned(in.incarnation)},
                        .operator_offset = in.operator_offset,
                        .servers_offset = in.servers_offset,
+                       .store_steady = std::chrono::milliseconds(in.store_steady_ms),
                        .leaving = in.leaving,
                        .known_peers = std::move(in.known_peers),
                        .engines = ListFromWire<policy::EngineReport>(in.engines),
--- /dev/null
+++ b/tests/support/platform_world.cc
@@ -0,0 +1,382 @@
+#include "platform_world.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace lagoonwind::testing {
+namespace {
+
+namespace asio = http::asio;
+namespace beast = boost::beast;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int kCallerPort = 18001;
+constexpr int kReadinessPort = 18002;
+constexpr int kPeerPort = 18003;
+constexpr milliseconds kPoll{10};
+constexpr int kMaxPolls = 1500;
+constexpr int kStreamEvents = 4;
+
+std::string BigEndian(std::uint64_t value, int bytes) {
+  std::string out;
+  for (int i = bytes - 1; i >= 0; --i) {
+    out.push_back(static_cast<char>(value >> (8 * i)));
+  }
+  return out;
+}
+
+std::string IpOf(int number) { return absl::StrCat("127.0.0.", 100 + number); }
+
+http::Response JsonResponse(const json& body) {
+  return {.status = 200, .content_type = "application/json", .body = body.dump()};
+}
+
+json RouteOf(const char* name, const char* prefix, const char* kind, const char* service) {
+  return {{"name", name},       {"host", "shop"},    {"path_prefix", prefix}, {"type", kind},
+          {"timeout_ms", 4000}, {"slo_ms", 600},     {"backend", service},    {"max_attempts", 3},
+          {"public", false},    {"resumable", false}};
+}
+
+}  // namespace
+
+PlatformWorld::PlatformWorld() : store_(io_) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "lagoonwind-XXXXXX").string();
+  directory_ = mkdtemp(pattern.data());
+  (void)http::Listen(store_, *http::ParseEndpoint("127.0.0.1:0"));
+  const http::Handler handler = [this](http::Request request) {
+    return HandleStore(std::move(request));
+  };
+  asio::co_spawn(io_, http::Serve(store_, handler, 1UL << 20U), asio::detached);
+  thread_ = std::jthread([this] { io_.run(); });
+}
+
+PlatformWorld::~PlatformWorld() {
+  gateways_.clear();
+  io_.stop();
+  thread_.join();
+  std::filesystem::remove_all(directory_);
+}
+
+void PlatformWorld::AddServer(const std::string& name, const std::string& service) {
+  auto server = std::make_unique<Server>();
+  server->name = name;
+  server->acceptor = std::make_unique<http::Tcp::acceptor>(io_);
+  (void)http::Listen(*server->acceptor, *http::ParseEndpoint("127.0.0.1:0"));
+  const std::string address = http::FormatEndpoint(server->acceptor->local_endpoint());
+  http::Tcp::acceptor& acceptor = *server->acceptor;
+  std::size_t index = 0;
+  {
+    const std::scoped_lock lock(mutex_);
+    index = servers_.size();
+    servers_.push_back(std::move(server));
+  }
+  const http::Handler handler = [this, index](http::Request request) {
+    return HandleServer(index, std::move(request));
+  };
+  asio::co_spawn(io_, http::Serve(acceptor, handler, 1UL << 20U), asio::detached);
+  Put("keyed.servers", name,
+      json{{"backend", service},
+           {"addr", address},
+           {"zone", "z1"},
+           {"slots", 8},
+           {"state", "ready"},
+           {"cold_left_ms", 0},
+           {"seq", 1},
+           {"born", 1}}
+          .dump());
+}
+
+void PlatformWorld::SetMode(const std::string& name, ServerMode mode) {
+  const std::scoped_lock lock(mutex_);
+  for (auto& server : servers_) {
+    server->mode = server->name == name ? mode : server->mode;
+  }
+}
+
+void PlatformWorld::Rename(const std::string& name, const std::string& now) {
+  const std::scoped_lock lock(mutex_);
+  for (auto& server : servers_) {
+    server->name = server->name == name ? now : server->name;
+  }
+}
+
+void PlatformWorld::Put(const std::string& topic, const std::string& key,
+                        const std::string& value) {
+  const std::scoped_lock lock(mutex_);
+  records_.push_back({.topic = topic, .key = key, .value = value});
+}
+
+void PlatformWorld::Delete(const std::string& topic, const std::string& key) {
+  Put(topic, key, "");
+}
+
+void PlatformWorld::SetStoreDown(bool down) {
+  const std::scoped_lock lock(mutex_);
+  store_down_ = down;
+}
+
+void PlatformWorld::Configure(int version) {
+  json plan = RouteOf("plan", "/plan/", "streaming", "model");
+  plan["resumable"] = true;
+  json look = RouteOf("look", "/look/", "idempotent", "desk");
+  look["public"] = true;
+  Put("keyed.op", "config",
+      json{{"version", version},
+           {"routes",
+            {plan, RouteOf("chat", "/chat/", "streaming", "model"),
+             RouteOf("book", "/book/", "mutating", "desk"), look}},
+           {"services",
+            {{{"name", "model"}, {"engine", {{"slots", 8}, {"kv_capacity", 100000}}}},
+             {{"name", "desk"}}}},
+           {"limits", {{"max_header_bytes", 4000}, {"max_body_bytes", 10000}}},
+           {"tenants", {{{"name", "erie"}, {"api_keys", {"key1"}}}}}}
+          .dump());
+}
+
+int PlatformWorld::refused_store_calls() const {
+  const std::scoped_lock lock(mutex_);
+  return refused_store_calls_;
+}
+
+http::Response PlatformWorld::ReadNewest(const std::string& topic) const {
+  std::map<std::string, std::string> newest;
+  std::int64_t end = 0;
+  for (const StoredRecord& record : records_) {
+    if (record.topic == topic) {
+      newest[record.key] = record.value;
+      ++end;
+    }
+  }
+  json items = json::array();
+  for (const auto& [key, value] : newest) {
+    if (!value.empty()) {
+      items.push_back({{"key", key}, {"value", absl::Base64Escape(value)}, {"offset", 0}});
+    }
+  }
+  return JsonResponse({{"items", items}, {"has_more", false}, {"end", end}});
+}
+
+http::Response PlatformWorld::ReadFrom(const std::string& topic, std::int64_t from) const {
+  std::string records;
+  std::int64_t end = 0;
+  for (const StoredRecord& record : records_) {
+    if (record.topic != topic) {
+      continue;
+    }
+    if (end++ >= from) {
+      const std::string content = absl::StrCat(std::string(1, static_cast<char>(record.key.size())),
+                                               record.key, record.value);
+      records += BigEndian(content.size(), 4) + content;
+    }
+  }
+  return {.status = 200,
+          .content_type = "application/octet-stream",
+          .body = BigEndian(static_cast<std::uint64_t>(end), 8) + BigEndian(0, 8) + records};
+}
+
+asio::awaitable<http::Response> PlatformWorld::HandleStore(http::Request request) {
+  const std::string topic = http::QueryParameter(request.target, "topic");
+  const std::string from = http::QueryParameter(request.target, "from");
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  for (int polls = 0;; ++polls) {
+    {
+      const std::scoped_lock lock(mutex_);
+      if (store_down_) {
+        ++refused_store_calls_;
+        co_return http::Response{.status = 503};
+      }
+      if (request.target.starts_with("/api/log-newest")) {
+        co_return ReadNewest(topic);
+      }
+      if (request.target.starts_with("/api/log-append")) {
+        co_return JsonResponse({{"offset", 0}, {"end", 1}});
+      }
+      auto page = ReadFrom(topic, std::stoll(from));
+      constexpr std::size_t kNoRecords = 16;
+      constexpr int kMaxHeld = 50;
+      if (page.body.size() > kNoRecords || polls > kMaxHeld) {
+        co_return page;
+      }
+    }
+    timer.expires_after(kPoll);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+http::Response PlatformWorld::Stream(const http::Request& request, bool breaks) {
+  const std::string last(http::FindField(request.fields, "Last-Event-Id"));
+  auto next = std::make_shared<int>(last.empty() ? 1 : std::stoi(last) + 1);
+  auto sent = std::make_shared<int>(0);
+  http::Response response{.status = 200, .content_type = "text/event-stream"};
+  response.next_part = [next, sent, breaks]() -> asio::awaitable<absl::StatusOr<std::string>> {
+    constexpr int kEventsBeforeBreak = 2;
+    if (*next > kStreamEvents) {
+      co_return std::string();
+    }
+    if (breaks && *sent == kEventsBeforeBreak) {
+      co_return absl::AbortedError("broken off");
+    }
+    ++*sent;
+    const int id = (*next)++;
+    co_return absl::StrCat("id: ", id, "\ndata: event ", id, "\n\n");
+  };
+  return response;
+}
+
+asio::awaitable<http::Response> PlatformWorld::HandleServer(std::size_t index,
+                                                            http::Request request) {
+  ServerMode mode = ServerMode::kAnswer;
+  std::string name;
+  {
+    const std::scoped_lock lock(mutex_);
+    mode = servers_[index]->mode;
+    name = servers_[index]->name;
+    seen_.push_back({.server = name, .request = request});
+  }
+  const std::string id(http::FindField(request.fields, "X-Attempt-Id"));
+  const http::Field echo{.name = "X-Attempt-Id", .value = id};
+  if (http::FindField(request.fields, "X-Expect-Instance") != name) {
+    co_return http::Response{.status = 421, .fields = {echo}};
+  }
+  if (mode == ServerMode::kNotRun) {
+    co_return http::Response{.status = 503, .fields = {echo, {.name = "X-Not-Run", .value = "1"}}};
+  }
+  if (mode == ServerMode::kHang || mode == ServerMode::kLoseAnswer) {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(mode == ServerMode::kHang ? std::chrono::hours(1) : kPoll);
+    co_await timer.async_wait(asio::use_awaitable);
+    http::Response lost{.status = 200};
+    lost.next_part = []() -> asio::awaitable<absl::StatusOr<std::string>> {
+      co_return absl::AbortedError("lost");
+    };
+    co_return lost;
+  }
+  const http::Field seal{.name = "X-Server-Seal", .value = absl::StrCat(name, ".", id)};
+  const bool streams = request.target.starts_with("/plan/") || request.target.starts_with("/chat/");
+  if (mode != ServerMode::kFail && streams) {
+    auto response = Stream(request, mode == ServerMode::kBreakStream);
+    response.fields = {echo, seal};
+    co_return response;
+  }
+  co_return http::Response{.status = mode == ServerMode::kFail ? 500U : 200U,
+                           .content_type = "text/plain",
+                           .fields = {echo, seal},
+                           .body = absl::StrCat("answer to ", id)};
+}
+
+std::string PlatformWorld::CallerAddress(int number) {
+  return absl::StrCat(IpOf(number), ":", kCallerPort);
+}
+
+std::string PlatformWorld::ReadinessAddress(int number) {
+  return absl::StrCat(IpOf(number), ":", kReadinessPort);
+}
+
+unsigned PlatformWorld::Readiness(int number) {
+  asio::io_context io;
+  unsigned status = 0;
+  http::Request request{.target = "/api/ready"};
+  asio::co_spawn(io, http::Fetch(ReadinessAddress(number), request, milliseconds(1000)),
+                 [&](const std::exception_ptr&, const absl::StatusOr<http::Response>& response) {
+                   status = response.ok() ? response->status : 0;
+                 });
+  io.run();
+  return status;
+}
+
+bool PlatformWorld::Await(const std::function<bool()>& condition) {
+  for (int i = 0; i < kMaxPolls; ++i) {
+    if (condition()) {
+      return true;
+    }
+    asio::io_context io;
+    asio::steady_timer timer(io, kPoll);
+    timer.wait();
+  }
+  return false;
+}
+
+Process& PlatformWorld::StartGateway(int number, bool await_ready) {
+  const std::string ip = IpOf(number);
+  const json settings{
+      {"node_name", absl::StrCat("edge-", number)},
+      {"zone", "z1"},
+      {"ip", ip},
+      {"listen", {{"front", CallerAddress(number)}, {"ready", ReadinessAddress(number)}}},
+      {"port_range", {kPeerPort, kPeerPort + 10}},
+      {"seeds", {absl::StrCat(IpOf(1), ":1"), absl::StrCat(IpOf(2), ":1")}},
+      {"limits", {{"ram_mb", 110}, {"cpu_share", 1}}},
+      {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 54}}},
+      {"platform", {{"addr", http::FormatEndpoint(store_.local_endpoint())}}}};
+  const auto path = directory_ / absl::StrCat("node-", number, ".json");
+  std::ofstream(path) << settings.dump();
+  setenv("LAGOONWIND_BOOT", path.c_str(), 1);
+  gateways_.push_back(std::make_unique<Process>(
+      absl::StrCat("gateway-", number),
+      std::vector<std::string>{absl::StrCat(LAGOONWIND_BUILD_DIR, "/lagoonwindd"), "--platform"},
+      directory_ / absl::StrCat("gateway-", number, ".log")));
+  if (await_ready) {
+    Await([&] { return Readiness(number) == 200; });
+  }
+  return *gateways_.back();
+}
+
+std::vector<SeenRequest> PlatformWorld::Seen() const {
+  const std::scoped_lock lock(mutex_);
+  return seen_;
+}
+
+Caller::Caller(const std::string& address) : socket_(io_) {
+  socket_.connect(*http::ParseEndpoint(address));
+}
+
+Caller::Answer Caller::Send(const std::string& method, const std::string& target,
+                            const std::string& id, std::vector<http::Field> fields,
+                            const std::string& body) {
+  std::string text = absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: shop\r\n",
+                                  "X-Attempt-Id: ", id, "\r\nX-Deadline-Ms: 4000\r\n");
+  for (const auto& field : fields) {
+    absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
+  }
+  if (method != "GET") {
+    absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n");
+  }
+  return SendRaw(absl::StrCat(text, "\r\n", body));
+}
+
+Caller::Answer Caller::SendRaw(const std::string& bytes) {
+  boost::system::error_code error;
+  asio::write(socket_, asio::buffer(bytes), error);
+  beast::flat_buffer buffer;
+  beast::http::response_parser<beast::http::string_body> parser;
+  beast::http::read(socket_, buffer, parser, error);
+  const auto& message = parser.get();
+  Answer answer{.status = parser.is_header_done() ? message.result_int() : 0,
+                .body = message.body(),
+                .whole = !error && parser.is_done()};
+  for (const auto& field : message) {
+    answer.fields.push_back(
+        {.name = std::string(field.name_string()), .value = std::string(field.value())});
+  }
+  buffer_ = beast::buffers_to_string(buffer.data());
+  return answer;
+}
+
+bool Caller::HasSurplus() {
+  boost::system::error_code ignored;
+  return !buffer_.empty() || socket_.available(ignored) > 0;
+}
+
+}  // namespace lagoonwind::testing
--- /dev/null
+++ b/tests/support/platform_world.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <filesystem>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "lagoonwind/http.h"
+#include "process.h"
+
+namespace lagoonwind::testing {
+
+/// How a stand-in of a backend server answers.
+enum class ServerMode {
+  kAnswer,
+  /// A failure of its own, as signed as any answer.
+  kFail,
+  /// States that it hasn't run the request.
+  kNotRun,
+  /// Runs the request and loses the answer.
+  kLoseAnswer,
+  /// Runs the request and never answers.
+  kHang,
+  /// Breaks a stream off after two events.
+  kBreakStream,
+};
+
+/// One request as a backend server got it.
+struct SeenRequest {
+  std::string server;
+  http::Request request;
+};
+
+/// Stand-ins of the users' platform, their store and backend servers, and gateways as processes on
+/// loopback addresses of their own. Thread safe.
+class PlatformWorld {
+ public:
+  PlatformWorld();
+  ~PlatformWorld();
+  PlatformWorld(const PlatformWorld&) = delete;
+  PlatformWorld& operator=(const PlatformWorld&) = delete;
+
+  /// Adds a backend server of service `model` or `desk`.
+  void AddServer(const std::string& name, const std::string& service);
+  void SetMode(const std::string& name, ServerMode mode);
+  /// Gives its address to another backend server, as after a restart that the list doesn't show.
+  void Rename(const std::string& name, const std::string& now);
+  /// Writes a configuration with routes /plan/ (resumable stream), /chat/ (stream), /book/
+  /// (mutating), /look/ (idempotent, public).
+  void Configure(int version);
+  /// Writes or, without a value, deletes a record of `keyed.servers` or `keyed.op`.
+  void Put(const std::string& topic, const std::string& key, const std::string& value);
+  void Delete(const std::string& topic, const std::string& key);
+  /// Makes the store refuse all calls, or answer again.
+  void SetStoreDown(bool down);
+  /// Calls that the store refused so far.
+  [[nodiscard]] int refused_store_calls() const;
+
+  /// Starts a gateway on 127.0.0.1xx and waits until it says that it is ready.
+  /// \param await_ready  False if it is not to become ready.
+  Process& StartGateway(int number, bool await_ready = true);
+  /// `IP:PORT` for callers, and for readiness checks.
+  [[nodiscard]] static std::string CallerAddress(int number);
+  [[nodiscard]] static std::string ReadinessAddress(int number);
+  /// Status of the readiness check, 0 if there is no answer.
+  static unsigned Readiness(int number);
+  /// Waits until `condition` holds; false if it doesn't within a generous limit.
+  static bool Await(const std::function<bool()>& condition);
+
+  /// What backend servers were sent.
+  [[nodiscard]] std::vector<SeenRequest> Seen() const;
+
+ private:
+  struct Server {
+    std::string name;
+    ServerMode mode = ServerMode::kAnswer;
+    std::unique_ptr<http::Tcp::acceptor> acceptor;
+  };
+  struct StoredRecord {
+    std::string topic;
+    std::string key;
+    std::string value;
+  };
+
+  http::asio::awaitable<http::Response> HandleStore(http::Request request);
+  http::asio::awaitable<http::Response> HandleServer(std::size_t index, http::Request request);
+  http::Response ReadNewest(const std::string& topic) const;
+  http::Response ReadFrom(const std::string& topic, std::int64_t from) const;
+  static http::Response Stream(const http::Request& request, bool breaks);
+
+  http::asio::io_context io_;
+  http::Tcp::acceptor store_;
+  mutable std::mutex mutex_;
+  std::vector<std::unique_ptr<Server>> servers_;
+  std::vector<StoredRecord> records_;
+  std::vector<SeenRequest> seen_;
+  bool store_down_ = false;
+  int refused_store_calls_ = 0;
+  std::filesystem::path directory_;
+  std::vector<std::unique_ptr<Process>> gateways_;
+  std::jthread thread_;
+};
+
+/// A caller's connection that sends requests one after another.
+class Caller {
+ public:
+  explicit Caller(const std::string& address);
+
+  struct Answer {
+    unsigned status = 0;
+    std::vector<http::Field> fields;
+    std::string body;
+    /// False if the connection ended before the answer was whole.
+    bool whole = false;
+  };
+
+  /// Sends a request and reads its answer.
+  Answer Send(const std::string& method, const std::string& target, const std::string& id,
+              std::vector<http::Field> fields = {}, const std::string& body = "");
+  /// Sends bytes as they are and reads one answer.
+  Answer SendRaw(const std::string& bytes);
+  /// True if there are bytes that no request asked for.
+  bool HasSurplus();
+
+ private:
+  http::asio::io_context io_;
+  http::Tcp::socket socket_;
+  std::string buffer_;
+};
+
+}  // namespace lagoonwind::testing
--- a/tests/unit/gateway_parts_test.cc
+++ b/tests/unit/gateway_parts_test.cc
@@ -118,7 +118,7 @@
 
 TEST_CASE("an entry that vanishes is gone at once, unless the store was away") {
   World world;
-  world.Put(Topic::kServers, "i-1", "11", At(0));
+  world.Put(Topic::kServers, "i-1", "11", At(-9000));
   world.Delete("i-1", At(1));
   CHECK(world.usable() == 0);
 
@@ -132,10 +132,17 @@
   world.Put(Topic::kServers, "i-2", "12", At(2000));
   world.facts.DropLapsed(At(3300));
   CHECK(world.usable() == 1);
+  // A peer that had the store all the time shows that the entry is gone for good.
+  world.Put(Topic::kServers, "i-3", "11", At(3300));
+  world.facts.StoreFailed();
+  world.facts.StoreAnswered(At(3400));
+  world.facts.PeerSawStore(seconds(60), At(3450));
+  world.Delete("i-3", At(3500));
+  CHECK(world.usable() == 1);
   // Long after the return of the store a vanished entry is gone at once again, however often the
   // two followers noticed the return.
-  world.facts.StoreAnswered(At(4400));
-  world.Delete("i-2", At(4500));
+  world.facts.StoreAnswered(At(9400));
+  world.Delete("i-2", At(9500));
   CHECK(world.usable() == 0);
 }
 
