--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -165,9 +165,9 @@
     metrics.Set("lagoonwind_gateway_log_lines_dropped_total", "Log lines that were dropped",
                 static_cast<double>(context_.log.dropped()));
     for (auto& [service, budget] : context_.budgets) {
-      metrics.Set(absl::StrCat("lagoonwind_gateway_retry_budget_left_", service),
-                  "Repeated sends that this gateway may still make",
-                  budget.Left(context_.peers.fleet_size(), now));
+      metrics.Set("lagoonwind_gateway_retry_budget_left",
+                  "Repeated sends that this gateway may still make, by service",
+                  budget.Left(context_.peers.fleet_size(), now), service);
     }
   }
 
@@ -209,7 +209,8 @@
     for (;;) {
       co_await reload_.async_wait(asio::use_awaitable);
       // Addresses and bounds are fixed for the life of a process.
-      context_.log.Write(Severity::kState, "reload", {{"changed", false}});
+      context_.log.Write(Severity::kState, "reload",
+                         {{"applied", false}, {"reason", "settings are read at the start only"}});
     }
   }
 
--- a/packages/gateway/src/gateway_metrics.cc
+++ b/packages/gateway/src/gateway_metrics.cc
@@ -100,10 +100,12 @@
   resent_.Add({{"reason", std::string(reason)}}).Increment();
 }
 
-void GatewayMetrics::Set(const std::string& name, const std::string& help, double value) {
-  const auto [slot, added] = gauges_.try_emplace(name);
+void GatewayMetrics::Set(const std::string& name, const std::string& help, double value,
+                         const std::string& service) {
+  const auto [slot, added] = gauges_.try_emplace(name + "/" + service);
   if (added) {
-    slot->second = &prometheus::BuildGauge().Name(name).Help(help).Register(*registry_).Add({});
+    const Labels labels = service.empty() ? Labels{} : Labels{{"service", service}};
+    slot->second = &prometheus::BuildGauge().Name(name).Help(help).Register(*registry_).Add(labels);
   }
   slot->second->Set(value);
 }
--- a/packages/gateway/src/gateway_metrics.h
+++ b/packages/gateway/src/gateway_metrics.h
@@ -32,7 +32,9 @@
   /// A request was sent to a backend server once more.
   void Resent(std::string_view reason);
   /// Sets a gauge that is read from elsewhere.
-  void Set(const std::string& name, const std::string& help, double value);
+  /// \param service  Becomes a label unless it is empty.
+  void Set(const std::string& name, const std::string& help, double value,
+           const std::string& service = "");
   /// The page in Prometheus' text format.
   [[nodiscard]] std::string Page() const;
 
--- a/packages/gateway/src/loop_monitor.cc
+++ b/packages/gateway/src/loop_monitor.cc
@@ -15,8 +15,8 @@
 constexpr Duration kInterval = std::chrono::milliseconds(40);
 /// Weight of one measurement.
 constexpr double kWeight = 0.2;
-// A loop that keeps up is late by less than 3 ms in 99 of 100 measurements, one that falls behind by
-// 16 to 65 ms (docs/CAPACITY.md).
+// A loop that keeps up is late by less than 3 ms in 99 of 100 measurements, one that falls behind
+// by 16 to 65 ms (docs/CAPACITY.md).
 
 /// Lateness from which on stream events are passed on in batches, and in longer ones.
 constexpr Duration kBatchLateness = std::chrono::milliseconds(2);
--- a/tests/end_to_end/gateway_test.cc
+++ b/tests/end_to_end/gateway_test.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <set>
+#include <sstream>
 #include <string>
 
 #include "platform_world.h"
@@ -238,6 +240,34 @@
   CHECK(caller.Send("POST", "/book/1", "l1", {kKey}, "x").status == 503);
 }
 
+TEST_CASE("docs/GATEWAY_METRICS.md lists exactly the metrics that there are") {
+  SmallWorld small;
+  Caller caller(PlatformWorld::CallerAddress(1));
+  small.world.SetMode("d-1", ServerMode::kFail);
+  for (int i = 0; i < 6; ++i) {
+    caller.Send("GET", "/look/1", "o" + std::to_string(i));
+  }
+  caller.Send("POST", "/plan/1", "o9", kPrompt, "body");
+  Caller operators(PlatformWorld::MetricsAddress(1));
+  const std::string page = operators.Send("GET", "/metrics", "x").body;
+  std::set<std::string> served;
+  std::istringstream lines(page);
+  for (std::string line; std::getline(lines, line);) {
+    const std::string type = "# TYPE ";
+    if (line.starts_with(type)) {
+      served.insert(line.substr(type.size(), line.find(' ', type.size()) - type.size()));
+    }
+  }
+  std::set<std::string> documented;
+  std::ifstream file(LAGOONWIND_SOURCE_DIR "/docs/GATEWAY_METRICS.md");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("| `")) {
+      documented.insert(line.substr(3, line.find('`', 3) - 3));
+    }
+  }
+  CHECK(served == documented);
+}
+
 TEST_CASE("SIGTERM ends a gateway once its callers are served") {
   SmallWorld small;
   Caller caller(PlatformWorld::CallerAddress(1));
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -25,6 +26,8 @@
 constexpr int kCallerPort = 18001;
 constexpr int kReadinessPort = 18002;
 constexpr int kPeerPort = 18003;
+/// Fixed by deploy/system.toml.
+constexpr int kMetricsPort = 9180;
 constexpr milliseconds kPoll{10};
 constexpr int kMaxPolls = 1500;
 constexpr int kStreamEvents = 4;
@@ -37,7 +40,12 @@
   return out;
 }
 
-std::string IpOf(int number) { return absl::StrCat("127.0.0.", 100 + number); }
+/// A loopback address of this test process's own, so that several of them can run at a time.
+std::string IpOf(int number) {
+  constexpr int kPart = 250;
+  const int pid = getpid();
+  return absl::StrCat("127.", 1 + pid / kPart % kPart, ".", 1 + pid % kPart, ".", number);
+}
 
 http::Response JsonResponse(const json& body) {
   return {.status = 200, .content_type = "application/json", .body = body.dump()};
@@ -284,6 +292,10 @@
   return absl::StrCat(IpOf(number), ":", kReadinessPort);
 }
 
+std::string PlatformWorld::MetricsAddress(int number) {
+  return absl::StrCat(IpOf(number), ":", kMetricsPort);
+}
+
 unsigned PlatformWorld::Readiness(int number) {
   asio::io_context io;
   unsigned status = 0;
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -59,12 +59,13 @@
   /// Calls that the store refused so far.
   [[nodiscard]] int refused_store_calls() const;
 
-  /// Starts a gateway on 127.0.0.1xx and waits until it says that it is ready.
+  /// Starts a gateway on a loopback address of its own and waits until it says that it is ready.
   /// \param await_ready  False if it is not to become ready.
   Process& StartGateway(int number, bool await_ready = true);
   /// `IP:PORT` for callers, and for readiness checks.
   [[nodiscard]] static std::string CallerAddress(int number);
   [[nodiscard]] static std::string ReadinessAddress(int number);
+  [[nodiscard]] static std::string MetricsAddress(int number);
   /// Status of the readiness check, 0 if there is no answer.
   static unsigned Readiness(int number);
   /// Waits until `condition` holds; false if it doesn't within a generous limit.
