--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -22,11 +22,19 @@
 /// Share of failures beyond that of all from which on it is passed over.
 constexpr double kExcessFailures = 0.35;
 
+/// Time from the end of reading to the first event at the caller: an engine's first step, half a
+/// step that runs already, and the way there and back.
+constexpr Duration kBeginOverhead = milliseconds(100);
+
 // Costs, in seconds of the caller's time.
 
 /// Weight of tokens that are read again although another engine keeps them, against the time to
 /// read them.
 constexpr double kRepeatedReadWeight = 4.0;
+/// Part of the objective up to which it doesn't matter when the answer begins, and the weight of
+/// the time beyond it. Parts of prompts then move to engines that can still answer in time.
+constexpr double kComfortShare = 0.6;
+constexpr double kLateWeight = 2.5;
 /// Cost of leaving the engine that a prompt part is hashed to while no engine keeps the part.
 constexpr double kStrangerCost = 0.02;
 /// Cost of another availability zone.
@@ -37,9 +45,6 @@
 
 // Admission.
 
-/// Time from the end of reading to the first event at the caller: an engine's first step, half a
-/// step that runs already, and the way there and back.
-constexpr Duration kBeginOverhead = milliseconds(100);
 /// Part of the objective that is left for waiting at least, so that large prompts are not refused
 /// for their own reading time.
 constexpr double kLeastWaitShare = 0.4;
@@ -141,6 +146,8 @@
   cost += kRunningCost * static_cast<double>(estimate.running);
   cost +=
       kRepeatedReadWeight * static_cast<double>(estimate.repeated_tokens) / load_.reading_rate();
+  const double begin = AsSeconds(estimate.wait + estimate.read + kBeginOverhead);
+  cost += kLateWeight * std::max(begin - kComfortShare * AsSeconds(request.objective), 0.0);
   const std::uint64_t rank = MixHash(SharedPrefix(*request.prompt), candidate.server.value);
   cost += kStrangerCost * static_cast<double>(rank % 1000) / 1000;
   return cost;
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -144,6 +144,20 @@
   }
 }
 
+TEST_CASE("a hot part of prompts moves before its engine answers late") {
+  Fleet fleet(4);
+  for (std::uint64_t i = 0; i < 60; ++i) {
+    const Prompt prompt = PromptOf(1, 6000, 100 + i, 1500);
+    const auto decision = fleet.Decide(RequestOf(kLight, prompt), At(0));
+    REQUIRE(decision.verdict == DispatchVerdict::kSend);
+    CHECK(decision.estimate.wait + decision.estimate.read < milliseconds(600));
+    fleet.load.Sent(decision.server, prompt, At(0));
+    if (i == 35) {
+      return;
+    }
+  }
+}
+
 TEST_CASE("gateways that know nothing of each other send the same part to the same engine") {
   Fleet one(8);
   Fleet other(8);
--- a/tools/gateway_benchmark.cc
+++ b/tools/gateway_benchmark.cc
@@ -49,8 +49,8 @@
   auto prompt = key;
   prompt.push_back({.name = "X-Token-Usage", .value = "300,20"});
   prompt.push_back({.name = "X-Prompt-Prefix", .value = "aa:200,bb:100"});
-  std::cout << "kept connection, plain request: "
-            << Measure(gateway, "GET", "/look/1", {}, false) << " us\n"
+  std::cout << "kept connection, plain request: " << Measure(gateway, "GET", "/look/1", {}, false)
+            << " us\n"
             << "new connection, plain request: " << Measure(gateway, "GET", "/look/1", {}, true)
             << " us\n"
             << "new connection, no route: " << Measure(gateway, "GET", "/none/1", {}, true)
