--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -458,10 +458,6 @@
 
 asio::awaitable<Exchange::SendEnd> Exchange::Relay(BackendCall& call, const BackendServer& server) {
   auto part = std::make_unique<std::array<char, kPartBytes>>();
-  const Duration stall =
-      accepted_.route->repeatable()
-          ? std::max(kMinStall, kStallObjectives * Duration{accepted_.route->objective})
-          : kNoStall;
   for (;;) {
     const auto count = co_await call.ReadPart(*part);
     if (!count.ok()) {
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -48,7 +48,6 @@
  public:
   Gateway(const Settings& settings, const Adapter& adapter)
       : settings_(settings),
-        adapter_(adapter),
         context_(io_, settings, adapter),
         operators_(adapter.store, context_.facts, context_.log,
                    {.topic = Topic::kOperator, .name = "operator", .wait = kStoreWait}),
@@ -86,7 +85,7 @@
           std::pair{&readiness_, settings_.readiness_listen},
           std::pair{&metrics_, absl::StrCat(settings_.ip, ":", settings_.metrics_port)}}) {
       const auto endpoint = http::ParseEndpoint(address);
-      const absl::Status listening =
+      absl::Status listening =
           endpoint.ok() ? http::Listen(*acceptor, *endpoint) : endpoint.status();
       if (!listening.ok()) {
         return listening;
@@ -246,7 +245,6 @@
 
   asio::io_context io_{1};
   const Settings& settings_;
-  const Adapter& adapter_;
   GatewayContext context_;
   StoreFollower operators_;
   StoreFollower servers_;
