--- a/packages/gateway/src/peers.cc
+++ b/packages/gateway/src/peers.cc
@@ -73,7 +73,7 @@
   if (error) {
     return absl::UnavailableError(absl::StrCat("can't open the peers' port: ", error.message()));
   }
-  const absl::Status listening = http::Listen(acceptor_, *endpoint);
+  absl::Status listening = http::Listen(acceptor_, *endpoint);
   if (!listening.ok()) {
     return listening;
   }
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -355,7 +355,7 @@
 }
 
 Caller::Answer Caller::Send(const std::string& method, const std::string& target,
-                            const std::string& id, std::vector<http::Field> fields,
+                            const std::string& id, const std::vector<http::Field>& fields,
                             const std::string& body) {
   std::string text = absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: shop\r\n",
                                   "X-Attempt-Id: ", id, "\r\nX-Deadline-Ms: 4000\r\n");
@@ -380,7 +380,7 @@
                 .whole = !error && parser.is_done()};
   for (const auto& field : message) {
     answer.fields.push_back(
-        {.name = std::string(field.name_string()), .value = std::string(field.value())});
+        {.name = field.name_string().to_string(), .value = field.value().to_string()});
   }
   buffer_ = beast::buffers_to_string(buffer.data());
   return answer;
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -120,7 +120,7 @@
 
   /// Sends a request and reads its answer.
   Answer Send(const std::string& method, const std::string& target, const std::string& id,
-              std::vector<http::Field> fields = {}, const std::string& body = "");
+              const std::vector<http::Field>& fields = {}, const std::string& body = "");
   /// Sends bytes as they are and reads one answer.
   Answer SendRaw(const std::string& bytes);
   /// True if there are bytes that no request asked for.
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -197,7 +197,7 @@
   fleet.load.Sent(fleet.candidates[1].server, PromptOf(50, 0, 51, 10000), At(0));
   int to_cold = 0;
   for (int ms = 0; ms < 1000; ms += 20) {
-    const Prompt prompt = PromptOf(1, 0, static_cast<std::uint64_t>(1000 + ms), 100);
+    const Prompt prompt = PromptOf(1, 0, 1000 + static_cast<std::uint64_t>(ms), 100);
     const auto decision = fleet.Decide(RequestOf(kLight, prompt), At(ms));
     if (decision.verdict == DispatchVerdict::kSend &&
         decision.server == fleet.candidates[0].server) {
--- a/tests/unit/gateway_parts_test.cc
+++ b/tests/unit/gateway_parts_test.cc
@@ -158,11 +158,12 @@
 
 TEST_CASE("streams are cut into whole events, wherever reads end") {
   const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\nid: 3\nda";
+  const std::string_view view = stream;
   for (std::size_t part = 1; part < stream.size(); ++part) {
     EventSplitter splitter;
     std::string out;
     for (std::size_t at = 0; at < stream.size(); at += part) {
-      out += splitter.Add(std::string_view(stream).substr(at, part));
+      out += splitter.Add(view.substr(at, part));
     }
     CHECK(out == stream.substr(0, stream.rfind("id: 3")));
     CHECK(splitter.rest() == "id: 3\nda");
--- a/tests/unit/users_platform_test.cc
+++ b/tests/unit/users_platform_test.cc
@@ -70,7 +70,7 @@
   CHECK(!DecodeSettings("{").ok());
   CHECK(!DecodeSettings("[]").ok());
   std::string text(kSettings);
-  text.replace(text.find("\"zone\": \"z1\""), 12, "\"zone\": 5");
+  text.replace(text.find(R"("zone": "z1")"), 12, R"("zone": 5)");
   const auto wrong = DecodeSettings(text);
   REQUIRE(!wrong.ok());
   CHECK(wrong.status().message().find("settings.zone isn't a text") != std::string::npos);
@@ -99,7 +99,7 @@
 TEST_CASE("operators' records that aren't understood are errors") {
   const auto codec = MakeRecordCodec();
   for (const char* text :
-       {"", "{", "[]", "{\"version\":1,\"routes\":[{}]}", "{\"routes\":[]}",
+       {"", "{", "[]", R"({"version":1,"routes":[{}]})", R"({"routes":[]})",
         R"({"version":1,"routes":[{"name":"a","host":"h","path_prefix":"/","type":"odd",
             "timeout_ms":1,"backend":"s"}]})",
         R"({"version":1,"tenants":[{"name":5}]})"}) {
@@ -222,8 +222,9 @@
   CHECK(absl::IsOutOfRange(DecodeLogRead(body, 2).status()));
   CHECK(!DecodeLogRead(body, 11).ok());
   CHECK(DecodeLogRead(LogBody(5, 0, ""), 5)->records.empty());
+  const std::string_view whole = body;
   for (std::size_t cut = 1; cut < body.size(); ++cut) {
-    const auto part = DecodeLogRead(std::string_view(body).substr(0, cut), 10);
+    const auto part = DecodeLogRead(whole.substr(0, cut), 10);
     CHECK((!part.ok() || part->records.size() < 2));
   }
 }
