--- a/packages/gateway/include/lagoonwind/gateway_types.h
+++ b/packages/gateway/include/lagoonwind/gateway_types.h
@@ -26,6 +26,9 @@
 /// What may be done with a request that was sent once.
 enum class RouteKind { kIdempotent, kMutating, kStreaming };
 
+/// Name of a kind for logs and metrics.
+std::string_view Name(RouteKind kind);
+
 /// A service that a route sends to, and its part of the route's traffic.
 struct WeightedService {
   std::string service;
