Weigh repeated reads by expected uses and by load, and let light customers move

A part moved whenever its engine had some 370 ms more to read than another, whether one caller in ten seconds or seventy a second used it, and whether the fleet was idle or full. Under load each move costs capacity that all others wait for.

Change: what is read again is divided by how often the engine is expected to use the part, and its weight grows with the mean wait (8 + 100 a second). Customers below half of their share go to any engine with room. Until somebody is refused, the largest customer counts as at its share, so that the first refusals don't meet light ones.

Conclusion: affinity under load is admission control.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -333,6 +333,8 @@
       {"verdict", policy::Name(first_decision_.verdict)},
       {"wait_ms", Milliseconds(estimate.wait)},
       {"read_ms", Milliseconds(estimate.read)},
+      {"unread_tokens", estimate.unread_tokens},
+      {"repeated_tokens", estimate.repeated_tokens},
       {"running", estimate.running},
       {"usage", first_decision_.usage},
       {"server_heard_ms", known == nullptr ? -1.0 : Milliseconds(now - known->heard)},
--- a/packages/policy/include/lagoonwind/customer_share.h
+++ b/packages/policy/include/lagoonwind/customer_share.h
@@ -67,13 +67,18 @@
   };
 
   Counts& CountsOf(CustomerId customer);
-  [[nodiscard]] double FairLevel(Time now) const;
+  void UpdateLevel(Time now) const;
 
   Duration window_;
   absl::flat_hash_map<CustomerId, Counts> customers_;
-  /// Cached share and when it was worked out.
-  mutable double level_ = 0;
-  mutable Time level_at_{};
+  /// Max-min fair share, and when it was worked out. If nobody was refused, the share is what the
+  /// largest customer got, so that the first refusals meet it and not those that ask for less.
+  struct Level {
+    double share = 0;
+    bool contended = false;
+    Time at{};
+  };
+  mutable Level level_;
 };
 
 /// Largest amount that each of `demands` may get so that all together get `capacity` (max-min
--- a/packages/policy/include/lagoonwind/dispatch.h
+++ b/packages/policy/include/lagoonwind/dispatch.h
@@ -2,9 +2,12 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 #include "lagoonwind/customer_share.h"
 #include "lagoonwind/engine_load.h"
@@ -114,19 +117,36 @@
                                         Time now) const;
 
  private:
-  struct Best {
-    const Candidate* candidate = nullptr;
+  /// What a request would meet at one candidate, and what that costs.
+  struct Option {
     EngineEstimate estimate;
     double cost = 0;
   };
-  [[nodiscard]] Best Cheapest(const DispatchRequest& request, std::span<const Candidate> candidates,
-                              std::span<const int> outstanding, std::uint64_t seed,
-                              bool with_ejected, Time now) const;
-  [[nodiscard]] double Cost(const DispatchRequest& request, const Candidate& candidate,
-                            int outstanding, std::uint64_t seed, EngineEstimate& estimate,
-                            Time now) const;
-  void Admit(const DispatchRequest& request, const Candidate& candidate, DispatchDecision& decision,
-             Time now) const;
+  [[nodiscard]] std::vector<Option> Options(const DispatchRequest& request,
+                                            std::span<const Candidate> candidates,
+                                            std::span<const int> outstanding, std::uint64_t seed,
+                                            Time now) const;
+  [[nodiscard]] double PlainCost(const Candidate& candidate, int outstanding,
+                                 std::uint64_t seed) const;
+  [[nodiscard]] double EngineCost(const DispatchRequest& request, const Candidate& candidate,
+                                  const EngineEstimate& estimate, double mean_wait) const;
+  [[nodiscard]] bool MayTake(const Candidate& candidate, bool with_ejected, Time now) const;
+  /// Index of the cheapest option that `allowed` takes.
+  template <class Allowed>
+  [[nodiscard]] static std::optional<std::size_t> Cheapest(std::span<const Option> options,
+                                                           const Allowed& allowed) {
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < options.size(); ++i) {
+      if (allowed(i) && (!best || options[i].cost < options[*best].cost)) {
+        best = i;
+      }
+    }
+    return best;
+  }
+  /// Mean time in seconds until engines have read what they have.
+  [[nodiscard]] static double MeanWait(std::span<const Option> options);
+  [[nodiscard]] DispatchVerdict Judge(const DispatchRequest& request, const Candidate& candidate,
+                                      const EngineEstimate& estimate, double usage) const;
 
   const EngineLoad& load_;
   const CustomerShare& share_;
--- a/packages/policy/include/lagoonwind/engine_load.h
+++ b/packages/policy/include/lagoonwind/engine_load.h
@@ -48,6 +48,8 @@
   std::int64_t unread_tokens = 0;
   /// Tokens of shared parts that another engine keeps and this one doesn't.
   std::int64_t repeated_tokens = 0;
+  /// The same, each part divided by how often this engine is expected to use it once it is read.
+  double repeated_tokens_a_use = 0;
   /// Requests that wait or run, and the memory that they need beyond shared parts.
   std::int64_t running = 0;
   std::int64_t running_tokens = 0;
@@ -80,7 +82,12 @@
   explicit EngineLoad(const EngineLoadInit& init) : init_(init) {}
 
   /// What `prompt` would meet at `server` now.
-  [[nodiscard]] EngineEstimate Expect(ServerId server, const Prompt& prompt, Time now) const;
+  [[nodiscard]] EngineEstimate Expect(ServerId server, const Prompt& prompt, Time now) const {
+    return ExpectAll(std::span(&server, 1), prompt, now).front();
+  }
+  /// What it would meet at each of `servers`, in their order.
+  [[nodiscard]] std::vector<EngineEstimate> ExpectAll(std::span<const ServerId> servers,
+                                                      const Prompt& prompt, Time now) const;
 
   /// Tells how much an engine keeps, in tokens.
   void SetMemory(ServerId server, std::int64_t tokens) { engines_[server].memory_tokens = tokens; }
@@ -151,14 +158,34 @@
     Time at;
     PartReport part;
   };
-  struct Unread {
+  /// A part that some engine has read lately.
+  struct KnownPart {
+    Time at{};
+    /// Uses anywhere, of which those longer ago count less.
+    double uses = 0;
+  };
+  /// A part of the prompt that is looked at.
+  struct PartOutlook {
+    /// Hash of the prompt up to its end.
+    std::uint64_t prefix = 0;
     std::int64_t tokens = 0;
-    std::int64_t repeated = 0;
+    bool known = false;
+    double uses = 0;
+    /// Engines looked at that keep it.
+    int holders = 0;
   };
 
   [[nodiscard]] Duration ReadingTime(std::int64_t tokens) const;
   void AddUnread(Engine& engine, std::uint64_t tokens, Time now) const;
-  [[nodiscard]] Unread UnreadOf(const Engine* engine, const Prompt& prompt, Time now) const;
+  [[nodiscard]] std::vector<PartOutlook> OutlookOf(const Prompt& prompt, Time now) const;
+  /// How many of the first parts an engine keeps.
+  [[nodiscard]] std::size_t KeptParts(const Engine* engine, std::span<const PartOutlook> parts,
+                                      Time now) const;
+  [[nodiscard]] EngineEstimate EstimateOf(const Engine* engine, const Prompt& prompt,
+                                          std::span<const PartOutlook> parts, std::size_t kept,
+                                          Time now) const;
+  [[nodiscard]] double DecayedUses(const KnownPart& part, Time now) const;
+  [[nodiscard]] const Engine* Find(ServerId server) const;
   [[nodiscard]] static std::int64_t RunningTokens(const Engine& engine) {
     return engine.own_memory + engine.peers_memory;
   }
@@ -171,8 +198,7 @@
   double reading_rate_ = init_.reading_rate;
   Sequence last_sequence_ = 0;
   absl::flat_hash_map<ServerId, Engine> engines_;
-  /// When each part was last read by any engine.
-  absl::flat_hash_map<std::uint64_t, Time> known_parts_;
+  absl::flat_hash_map<std::uint64_t, KnownPart> known_parts_;
   std::deque<SentPart> sent_parts_;
 };
 
--- a/packages/policy/src/customer_share.cc
+++ b/packages/policy/src/customer_share.cc
@@ -1,6 +1,7 @@
 #include "lagoonwind/customer_share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace lagoonwind::policy {
@@ -64,9 +65,9 @@
   counts.own.admitted_tokens += static_cast<std::uint64_t>(tokens);
 }
 
-double CustomerShare::FairLevel(Time now) const {
-  if (level_at_ != Time{} && now - level_at_ < kLevelLifetime) {
-    return level_;
+void CustomerShare::UpdateLevel(Time now) const {
+  if (level_.at != Time{} && now - level_.at < kLevelLifetime) {
+    return;
   }
   std::vector<double> demands;
   demands.reserve(customers_.size());
@@ -76,9 +77,11 @@
     admitted += got;
     demands.push_back(std::max(counts.asked.Sum(now), got));
   }
-  level_ = MaxMinLevel(demands, admitted);
-  level_at_ = now;
-  return level_;
+  const double share = MaxMinLevel(demands, admitted);
+  level_ = {.share = share, .contended = std::isfinite(share), .at = now};
+  if (!level_.contended) {
+    level_.share = demands.empty() ? 0 : std::ranges::max(demands);
+  }
 }
 
 double CustomerShare::Usage(CustomerId customer, Time now) const {
@@ -86,8 +89,12 @@
   if (found == customers_.end()) {
     return 0;
   }
-  const double level = FairLevel(now);
-  return level > 0 ? found->second.admitted.Sum(now) / level : 0;
+  UpdateLevel(now);
+  if (level_.share <= 0) {
+    return 0;
+  }
+  const double usage = found->second.admitted.Sum(now) / level_.share;
+  return level_.contended ? usage : std::min(usage, 1.0);
 }
 
 std::vector<CustomerReport> CustomerShare::Reports() const {
--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace lagoonwind::policy {
 namespace {
@@ -29,8 +30,10 @@
 // Costs, in seconds of the caller's time.
 
 /// Weight of tokens that are read again although another engine keeps them, against the time to
-/// read them.
-constexpr double kRepeatedReadWeight = 4.0;
+/// read them; and what is added to it for each second that engines wait on average, as reading
+/// again under load delays all that wait. From days at 0.5 and 0.8 of the engines' capacity.
+constexpr double kRepeatedReadWeight = 8.0;
+constexpr double kRepeatedReadPerWait = 100.0;
 /// Part of the objective up to which it doesn't matter when the answer begins, and the weight of
 /// the time beyond it. Parts of prompts then move to engines that can still answer in time.
 constexpr double kComfortShare = 0.6;
@@ -56,6 +59,10 @@
 /// Part of the longest useful wait that is open to a customer whatever its use, so that no engine
 /// runs empty while anyone has work.
 constexpr double kLeastUsagePart = 0.15;
+/// Use of the share below which a request goes to any engine with room when the cheapest would
+/// refuse it. Such customers ask for little, so that what is read again for them costs little;
+/// for all customers, it would take more capacity than it finds under load.
+constexpr double kLightUsage = 0.5;
 /// Engine time for one token of an answer while prompts are read beside it.
 constexpr Duration kTokenTime = std::chrono::microseconds(9000);
 /// Part of an engine's memory that running requests may need beyond shared parts.
@@ -85,6 +92,22 @@
   return kFairWaitShare - beyond * (kFairWaitShare - kLeastUsagePart);
 }
 
+/// Longest wait at an engine from which a request is still of use, in seconds.
+double MostWait(const DispatchRequest& request, const EngineEstimate& estimate) {
+  const double objective = AsSeconds(request.objective);
+  return std::max(objective - AsSeconds(kBeginOverhead + estimate.read),
+                  objective * kLeastWaitShare);
+}
+
+/// Time after which the engine is expected to have read half of what it may have waiting, or all
+/// for what can't end in time.
+Duration TimeToRoom(const DispatchRequest& request, const DispatchDecision& decision) {
+  if (decision.verdict == DispatchVerdict::kHopeless) {
+    return decision.estimate.wait;
+  }
+  return decision.estimate.wait - AsDuration(MostWait(request, decision.estimate) / 2);
+}
+
 /// Hash of the parts that a prompt shares with others; the last one is its own.
 std::uint64_t SharedPrefix(const Prompt& prompt) {
   std::uint64_t prefix = 0;
@@ -132,114 +155,133 @@
   return found != servers_.end() && now < found->second.ejected_until;
 }
 
-double Dispatch::Cost(const DispatchRequest& request, const Candidate& candidate, int outstanding,
-                      std::uint64_t seed, EngineEstimate& estimate, Time now) const {
+double Dispatch::PlainCost(const Candidate& candidate, int outstanding, std::uint64_t seed) const {
+  const double busy = static_cast<double>(outstanding) / std::max(candidate.slots, 1);
+  // Ties go to any of them.
+  const double tie = static_cast<double>(MixHash(candidate.server.value, seed) % 1000) * 1e-6;
+  return (candidate.own_zone ? 0 : kZoneCost) + busy * kBusySlotCost + tie;
+}
+
+double Dispatch::EngineCost(const DispatchRequest& request, const Candidate& candidate,
+                            const EngineEstimate& estimate, double mean_wait) const {
   double cost = candidate.own_zone ? 0 : kZoneCost;
-  if (request.prompt == nullptr) {
-    const double busy = static_cast<double>(outstanding) / std::max(candidate.slots, 1);
-    // Ties go to any of them.
-    const double tie = static_cast<double>(MixHash(candidate.server.value, seed) % 1000) * 1e-6;
-    return cost + busy * kBusySlotCost + tie;
-  }
-  estimate = load_.Expect(candidate.server, *request.prompt, now);
   cost += AsSeconds(estimate.wait) + AsSeconds(estimate.read);
   cost += kRunningCost * static_cast<double>(estimate.running);
-  cost +=
-      kRepeatedReadWeight * static_cast<double>(estimate.repeated_tokens) / load_.reading_rate();
+  const double repeat_weight = kRepeatedReadWeight + kRepeatedReadPerWait * mean_wait;
+  cost += repeat_weight * estimate.repeated_tokens_a_use / load_.reading_rate();
   const double begin = AsSeconds(estimate.wait + estimate.read + kBeginOverhead);
   cost += kLateWeight * std::max(begin - kComfortShare * AsSeconds(request.objective), 0.0);
   const std::uint64_t rank = MixHash(SharedPrefix(*request.prompt), candidate.server.value);
-  cost += kStrangerCost * static_cast<double>(rank % 1000) / 1000;
-  return cost;
+  return cost + kStrangerCost * static_cast<double>(rank % 1000) / 1000;
 }
 
-Dispatch::Best Dispatch::Cheapest(const DispatchRequest& request,
-                                  std::span<const Candidate> candidates,
-                                  std::span<const int> outstanding, std::uint64_t seed,
-                                  bool with_ejected, Time now) const {
-  Best best;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const Candidate& candidate = candidates[i];
-    if (!with_ejected && health_.Ejected(candidate.server, now)) {
-      continue;
-    }
-    if (candidate.cold_rate > 0 &&
-        cold_.Delay(candidate.server, candidate.cold_rate, now) > Duration{0}) {
-      continue;
-    }
-    EngineEstimate estimate;
-    const double cost = Cost(request, candidate, outstanding[i], seed, estimate, now);
-    if (best.candidate == nullptr || cost < best.cost) {
-      best = {.candidate = &candidate, .estimate = estimate, .cost = cost};
+double Dispatch::MeanWait(std::span<const Option> options) {
+  const auto add = [](double sum, const Option& option) {
+    return sum + AsSeconds(option.estimate.wait);
+  };
+  return std::accumulate(options.begin(), options.end(), 0.0, add) /
+         static_cast<double>(std::max<std::size_t>(options.size(), 1));
+}
+
+std::vector<Dispatch::Option> Dispatch::Options(const DispatchRequest& request,
+                                                std::span<const Candidate> candidates,
+                                                std::span<const int> outstanding,
+                                                std::uint64_t seed, Time now) const {
+  std::vector<Option> options(candidates.size());
+  if (request.prompt == nullptr) {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      options[i].cost = PlainCost(candidates[i], outstanding[i], seed);
     }
+    return options;
   }
-  return best;
+  std::vector<ServerId> servers(candidates.size());
+  std::ranges::transform(candidates, servers.begin(), &Candidate::server);
+  const std::vector<EngineEstimate> estimates = load_.ExpectAll(servers, *request.prompt, now);
+  std::ranges::transform(estimates, options.begin(), [](const EngineEstimate& estimate) {
+    return Option{.estimate = estimate};
+  });
+  const double mean_wait = MeanWait(options);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    options[i].cost = EngineCost(request, candidates[i], estimates[i], mean_wait);
+  }
+  return options;
 }
 
-void Dispatch::Admit(const DispatchRequest& request, const Candidate& candidate,
-                     DispatchDecision& decision, Time now) const {
+bool Dispatch::MayTake(const Candidate& candidate, bool with_ejected, Time now) const {
+  const bool ejected = !with_ejected && health_.Ejected(candidate.server, now);
+  const bool cold = candidate.cold_rate > 0 &&
+                    cold_.Delay(candidate.server, candidate.cold_rate, now) > Duration{0};
+  return !ejected && !cold;
+}
+
+DispatchVerdict Dispatch::Judge(const DispatchRequest& request, const Candidate& candidate,
+                                const EngineEstimate& estimate, double usage) const {
   if (request.prompt == nullptr) {
     const Duration usual = std::min(request.objective, request.timeout);
-    decision.verdict = AsSeconds(request.time_left) < AsSeconds(usual) * kLeastPlainTime
-                           ? DispatchVerdict::kHopeless
-                           : DispatchVerdict::kSend;
-    return;
+    return AsSeconds(request.time_left) < AsSeconds(usual) * kLeastPlainTime
+               ? DispatchVerdict::kHopeless
+               : DispatchVerdict::kSend;
   }
-  const EngineEstimate& estimate = decision.estimate;
   const Duration whole =
       estimate.wait + estimate.read + kTokenTime * request.prompt->max_output_tokens;
   if (whole > request.time_left) {
-    decision.verdict = DispatchVerdict::kHopeless;
-    decision.retry_after = estimate.wait;
-    return;
+    return DispatchVerdict::kHopeless;
   }
   if (request.repeated) {
-    decision.verdict = DispatchVerdict::kSend;
-    return;
+    return DispatchVerdict::kSend;
   }
-  decision.usage = share_.Usage(request.customer, now);
-  const double objective = AsSeconds(request.objective);
-  const double most_wait =
-      std::max(objective - AsSeconds(kBeginOverhead + estimate.read), objective * kLeastWaitShare);
   const double wait = AsSeconds(estimate.wait);
+  const double most_wait = MostWait(request, estimate);
+  const double part = UsagePart(usage);
+  if (wait > most_wait * part) {
+    return wait > most_wait ? DispatchVerdict::kOverloaded : DispatchVerdict::kOverShare;
+  }
   const double length =
       std::min(static_cast<double>(request.prompt->max_output_tokens) / kLongAnswer, 1.0);
-  const double part = UsagePart(decision.usage);
   const double room = (1 - kSlotsForLight * (1 - part)) * (1 - kSlotsForShort * length);
   const bool full = static_cast<double>(estimate.running) >= room * candidate.slots ||
                     static_cast<double>(estimate.running_tokens) >
                         room * kMemoryShare * static_cast<double>(candidate.memory_tokens);
-  if (wait > most_wait) {
-    decision.verdict = DispatchVerdict::kOverloaded;
-  } else if (wait > most_wait * part) {
-    decision.verdict = DispatchVerdict::kOverShare;
-  } else {
-    decision.verdict = full ? DispatchVerdict::kFull : DispatchVerdict::kSend;
-  }
-  decision.retry_after = AsDuration(std::max(wait - most_wait / 2, 0.0));
+  return full ? DispatchVerdict::kFull : DispatchVerdict::kSend;
 }
 
 DispatchDecision Dispatch::Decide(const DispatchRequest& request,
                                   std::span<const Candidate> candidates,
                                   std::span<const int> outstanding, std::uint64_t seed,
                                   Time now) const {
-  DispatchDecision decision;
-  decision.retry_after = kMinRetryAfter;
+  DispatchDecision decision{.retry_after = kMinRetryAfter};
   if (candidates.empty()) {
     return decision;
   }
-  Best best = Cheapest(request, candidates, outstanding, seed, false, now);
-  if (best.candidate == nullptr) {
-    best = Cheapest(request, candidates, outstanding, seed, true, now);
+  const std::vector<Option> options = Options(request, candidates, outstanding, seed, now);
+  const bool is_new = request.prompt != nullptr && !request.repeated;
+  decision.usage = is_new ? share_.Usage(request.customer, now) : 0;
+  const auto may_take = [&](std::size_t i) { return MayTake(candidates[i], false, now); };
+  const auto may_take_ejected = [&](std::size_t i) { return MayTake(candidates[i], true, now); };
+  const auto verdict = [&](std::size_t i) {
+    return Judge(request, candidates[i], options[i].estimate, decision.usage);
+  };
+  auto best = Cheapest(options, may_take);
+  if (!best) {
+    best = Cheapest(options, may_take_ejected);
   }
-  if (best.candidate == nullptr) {
+  if (!best) {
     decision.verdict = DispatchVerdict::kCold;
     return decision;
   }
-  decision.server = best.candidate->server;
-  decision.estimate = best.estimate;
-  Admit(request, *best.candidate, decision, now);
-  decision.retry_after = std::max(decision.retry_after, kMinRetryAfter);
+  decision.verdict = verdict(*best);
+  if (is_new && decision.verdict != DispatchVerdict::kSend && decision.usage < kLightUsage) {
+    const auto has_room = Cheapest(options, [&](std::size_t i) {
+      return may_take(i) && verdict(i) == DispatchVerdict::kSend;
+    });
+    best = has_room.value_or(*best);
+    decision.verdict = verdict(*best);
+  }
+  decision.server = candidates[*best].server;
+  decision.estimate = options[*best].estimate;
+  if (request.prompt != nullptr) {
+    decision.retry_after = std::max(TimeToRoom(request, decision), kMinRetryAfter);
+  }
   return decision;
 }
 
--- a/packages/policy/src/engine_load.cc
+++ b/packages/policy/src/engine_load.cc
@@ -1,6 +1,8 @@
 #include "lagoonwind/engine_load.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace lagoonwind::policy {
 namespace {
@@ -67,36 +69,61 @@
   return read_since < room;
 }
 
-EngineLoad::Unread EngineLoad::UnreadOf(const Engine* engine, const Prompt& prompt,
-                                        Time now) const {
-  Unread unread;
-  std::int64_t listed = 0;
+double EngineLoad::DecayedUses(const KnownPart& part, Time now) const {
+  using Seconds = std::chrono::duration<double>;
+  return part.uses * std::exp(-Seconds(now - part.at) / Seconds(init_.part_lifetime));
+}
+
+std::vector<EngineLoad::PartOutlook> EngineLoad::OutlookOf(const Prompt& prompt, Time now) const {
+  std::vector<PartOutlook> parts;
+  parts.reserve(prompt.parts.size());
   std::uint64_t prefix = 0;
-  bool kept = engine != nullptr;
   for (const PromptPart& part : prompt.parts) {
     prefix = MixHash(prefix, part.id);
-    listed += part.tokens;
-    kept = kept && Kept(*engine, prefix, now);
-    if (kept) {
-      continue;
-    }
-    unread.tokens += part.tokens;
-    const auto known = known_parts_.find(prefix);
-    if (known != known_parts_.end() && now - known->second < init_.part_lifetime) {
-      unread.repeated += part.tokens;
+    PartOutlook outlook{.prefix = prefix, .tokens = part.tokens};
+    const auto found = known_parts_.find(prefix);
+    if (found != known_parts_.end()) {
+      outlook.known = now - found->second.at < init_.part_lifetime;
+      outlook.uses = DecayedUses(found->second, now);
     }
+    parts.push_back(outlook);
   }
-  unread.tokens += std::max<std::int64_t>(prompt.input_tokens - listed, 0);
-  return unread;
+  return parts;
 }
 
-EngineEstimate EngineLoad::Expect(ServerId server, const Prompt& prompt, Time now) const {
+std::size_t EngineLoad::KeptParts(const Engine* engine, std::span<const PartOutlook> parts,
+                                  Time now) const {
+  if (engine == nullptr) {
+    return 0;
+  }
+  const auto end = std::ranges::find_if_not(
+      parts, [&](const PartOutlook& part) { return Kept(*engine, part.prefix, now); });
+  return static_cast<std::size_t>(end - parts.begin());
+}
+
+const EngineLoad::Engine* EngineLoad::Find(ServerId server) const {
   const auto found = engines_.find(server);
-  const Engine* engine = found == engines_.end() ? nullptr : &found->second;
-  const Unread unread = UnreadOf(engine, prompt, now);
-  EngineEstimate estimate{.read = ReadingTime(unread.tokens),
-                          .unread_tokens = unread.tokens,
-                          .repeated_tokens = unread.repeated};
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+EngineEstimate EngineLoad::EstimateOf(const Engine* engine, const Prompt& prompt,
+                                      std::span<const PartOutlook> parts, std::size_t kept,
+                                      Time now) const {
+  std::int64_t kept_tokens = 0;
+  for (const PartOutlook& part : parts.first(kept)) {
+    kept_tokens += part.tokens;
+  }
+  const auto add = [](std::int64_t sum, const PartOutlook& part) { return sum + part.tokens; };
+  const std::int64_t listed = std::accumulate(parts.begin(), parts.end(), std::int64_t{0}, add);
+  EngineEstimate estimate{.unread_tokens = std::max(prompt.input_tokens, listed) - kept_tokens};
+  estimate.read = ReadingTime(estimate.unread_tokens);
+  for (const PartOutlook& part : parts.subspan(kept)) {
+    if (part.known) {
+      estimate.repeated_tokens += part.tokens;
+      estimate.repeated_tokens_a_use +=
+          static_cast<double>(part.tokens) / std::max(part.uses / (part.holders + 1), 1.0);
+    }
+  }
   if (engine == nullptr) {
     return estimate;
   }
@@ -113,21 +140,41 @@
   return estimate;
 }
 
+std::vector<EngineEstimate> EngineLoad::ExpectAll(std::span<const ServerId> servers,
+                                                  const Prompt& prompt, Time now) const {
+  std::vector<PartOutlook> parts = OutlookOf(prompt, now);
+  std::vector<std::size_t> kept;
+  kept.reserve(servers.size());
+  for (const ServerId server : servers) {
+    kept.push_back(KeptParts(Find(server), parts, now));
+    std::ranges::for_each(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(kept.back()),
+                          [](PartOutlook& part) { ++part.holders; });
+  }
+  std::vector<EngineEstimate> estimates;
+  estimates.reserve(servers.size());
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    estimates.push_back(EstimateOf(Find(servers[i]), prompt, parts, kept[i], now));
+  }
+  return estimates;
+}
+
 void EngineLoad::UsePart(Engine& engine, std::uint64_t part, Time now) {
   engine.parts[part] = {.at = now, .position = engine.sent_tokens};
-  known_parts_[part] = now;
+  KnownPart& known = known_parts_[part];
+  known.uses = DecayedUses(known, now) + 1;
+  known.at = now;
   const auto outdated = [&](Time used) { return now - used >= init_.part_lifetime; };
   if (engine.parts.size() > kPartSweepSize) {
     EraseIf(engine.parts, [&](const PartUse& use) { return outdated(use.at); });
   }
   if (known_parts_.size() > 4 * kPartSweepSize) {
-    EraseIf(known_parts_, outdated);
+    EraseIf(known_parts_, [&](const KnownPart& use) { return outdated(use.at); });
   }
 }
 
 EngineLoad::Sequence EngineLoad::Sent(ServerId server, const Prompt& prompt, Time now) {
   Engine& engine = engines_[server];
-  const std::int64_t unread = UnreadOf(&engine, prompt, now).tokens;
+  const std::int64_t unread = Expect(server, prompt, now).unread_tokens;
   const Duration wait = std::max(engine.read_until - now, Duration{0});
   Running request{.sequence = ++last_sequence_,
                   .sent = now,
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -158,6 +158,50 @@
   }
 }
 
+TEST_CASE("a light customer whose cheapest engine is full goes to one with room") {
+  Fleet fleet(2);
+  // The first engine keeps the part, and its slots are taken by long answers.
+  const Prompt kept = PromptOf(1, 3000, 2, 10, 280);
+  const ServerId holder = fleet.candidates.front().server;
+  for (int i = 0; i < 64; ++i) {
+    fleet.load.Began(holder, fleet.load.Sent(holder, kept, At(0)), At(100));
+  }
+  fleet.share.Asked(kHot, 200000, At(100));
+  fleet.share.Admitted(kHot, 100000, At(100));
+  const DispatchDecision light = fleet.Decide(RequestOf(kLight, kept), At(200));
+  CHECK(light.verdict == DispatchVerdict::kSend);
+  CHECK(light.server == fleet.candidates.back().server);
+  // For a customer that has its share, the part isn't read a second time.
+  CHECK(fleet.Decide(RequestOf(kHot, kept), At(200)).verdict == DispatchVerdict::kFull);
+}
+
+TEST_CASE("a part of prompts that many ask for is read by several engines") {
+  Fleet fleet(4);
+  const Prompt prompt = PromptOf(1, 4000, 2, 10);
+  const ServerId holder = fleet.candidates.front().server;
+  for (int i = 0; i < 40; ++i) {
+    const auto sent = fleet.load.Sent(holder, prompt, At(50 * i));
+    fleet.load.Began(holder, sent, At(50 * i + 20));
+    fleet.load.Ended(holder, sent, At(50 * i + 40));
+  }
+  // 150 ms to read at the engine that keeps the part, nothing elsewhere.
+  fleet.load.Sent(holder, PromptOf(7, 0, 8, 7500), At(2000));
+  CHECK(fleet.Decide(RequestOf(kLight, prompt), At(2000)).server != holder);
+}
+
+TEST_CASE("a part of prompts that few ask for stays with its engine while all are busy") {
+  Fleet fleet(4);
+  const Prompt prompt = PromptOf(1, 4000, 2, 10);
+  const ServerId holder = fleet.candidates.front().server;
+  fleet.load.Began(holder, fleet.load.Sent(holder, prompt, At(0)), At(100));
+  for (const auto& candidate : fleet.candidates) {
+    const std::int64_t backlog = candidate.server == holder ? 20000 : 7500;
+    fleet.load.Sent(candidate.server, PromptOf(7, 0, candidate.server.value + 10, backlog),
+                    At(100));
+  }
+  CHECK(fleet.Decide(RequestOf(kLight, prompt), At(100)).server == holder);
+}
+
 TEST_CASE("gateways that know nothing of each other send the same part to the same engine") {
   Fleet one(8);
   Fleet other(8);
