--- a/apps/lagoonctl/commands.h
+++ b/apps/lagoonctl/commands.h
@@ -35,6 +35,12 @@
 /// \param subject  `request=ID`, `customer=NAME` or `backend=NAME`.
 int Explain(const CommonOptions& common, const std::string& subject);
 
+/// Tells what processes' logs hold of one request.
+/// \param request  Its id.
+/// \param logs     Files; `-` is standard input.
+int ExplainFromLogs(const CommonOptions& common, const std::string& request,
+                    const std::vector<std::string>& logs);
+
 struct LoadOptions {
   /// Callers' ports of entries, IP:PORT.
   std::vector<std::string> entries;
--- a/apps/lagoonctl/main.cc
+++ b/apps/lagoonctl/main.cc
@@ -15,7 +15,8 @@
   rules apply FILE [--wait]  propose a rules file, and wait until it is in force
   rules history              which proposals were accepted, and why others weren't
   status                     what the daemons know and do
-  explain SUBJECT            why: request=ID, customer=NAME or backend=NAME
+  explain SUBJECT            why: request=ID, customer=NAME or backend=NAME; with --log, request=ID
+                             from the logs of gateways
   load                       send a mix of requests to --entry and report
 
 With several --daemon, rules commands use the first that answers; status and explain ask all.
@@ -25,6 +26,7 @@
   lagoonctl rules apply rules.txt --wait --daemon 127.0.0.1:7000
   lagoonctl status --daemon 127.0.0.1:7000 --daemon 127.0.0.1:7001
   lagoonctl explain customer=saltline-erie --daemon 127.0.0.1:7000
+  lagoonctl explain request=93d09e962c6b2d6f --log edge-1.log --log edge-2.log
   lagoonctl load --entry 127.0.0.1:8000 --mix load.toml --seconds 5 --plot load.svg
 
 Exit codes: 0 done, 1 refused, 2 usage, 3 not reachable.
@@ -34,6 +36,7 @@
   cxxopts::Options options("lagoonctl", "Operators' tool of the lagoonwind router fleet.");
   options.positional_help("COMMAND").add_options()(
       "daemon", "operators' port of a daemon, IP:PORT; repeatable", cxxopts::value<Words>())(
+      "log", "log file of a gateway, - for standard input; repeatable", cxxopts::value<Words>())(
       "output", "table, json, or for load csv",
       cxxopts::value<std::string>()->default_value("table"))(
       "wait", "wait until the rules are in force", cxxopts::value<bool>())(
@@ -116,6 +119,17 @@
   return ctl::Load(common, options);
 }
 
+int RunExplain(const ctl::CommonOptions& common, const std::string& subject, const Words& logs) {
+  constexpr std::string_view kRequest = "request=";
+  if (logs.empty()) {
+    return ctl::Explain(common, subject);
+  }
+  if (!subject.starts_with(kRequest) || subject.size() == kRequest.size()) {
+    return UsageError("explain with --log needs request=ID");
+  }
+  return ctl::ExplainFromLogs(common, subject.substr(kRequest.size()), logs);
+}
+
 bool NeedsDaemon(const Words& words) {
   return words[0] != "load" && !(words[0] == "rules" && words.size() > 1 && words[1] == "check");
 }
@@ -134,7 +148,9 @@
   if (words[0] != "rules" && words[0] != "status" && words[0] != "explain" && words[0] != "load") {
     return UsageError("there is no command '" + words[0] + "'");
   }
-  if (NeedsDaemon(words) && common.daemons.empty()) {
+  const Words logs = ListOf(parsed, "log");
+  const bool reads_logs = words[0] == "explain" && !logs.empty();
+  if (NeedsDaemon(words) && common.daemons.empty() && !reads_logs) {
     return UsageError(words[0] + " needs --daemon");
   }
   if (words[0] == "rules") {
@@ -144,7 +160,7 @@
     return ctl::ShowStatus(common);
   }
   if (words[0] == "explain" && rest.size() == 1) {
-    return ctl::Explain(common, rest[0]);
+    return RunExplain(common, rest[0], logs);
   }
   if (words[0] == "load" && rest.empty()) {
     return RunLoad(common, parsed);
--- a/tests/end_to_end/gateway_test.cc
+++ b/tests/end_to_end/gateway_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <fstream>
 #include <set>
@@ -281,3 +282,70 @@
 }
 
 }  // namespace lagoonwind
+
+namespace lagoonwind {
+namespace {
+
+std::string TextOf(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// Runs lagoonctl on a gateway's log. \return Its exit code; its output goes to `output`.
+int ExplainFromLog(const std::string& subject, const std::filesystem::path& log,
+                   const std::filesystem::path& output) {
+  testing::Process tool("lagoonctl", {tool_path, "explain", subject, "--log", log.string()},
+                        output);
+  return tool.Wait();
+}
+
+}  // namespace
+
+TEST_CASE("a request is explained from the log of its gateway") {
+  SmallWorld small;
+  small.SetModes(ServerMode::kBreakStream);
+  Caller caller(PlatformWorld::CallerAddress(1));
+  CHECK(!caller.Send("POST", "/chat/1", "e1", kPrompt, "body").whole);
+  const auto log = small.world.LogPath(1);
+  REQUIRE(
+      PlatformWorld::Await([&] { return TextOf(log).find("broken_off") != std::string::npos; }));
+  const auto output = log.parent_path() / "explain.txt";
+  CHECK(ExplainFromLog("request=e1", log, output) == 0);
+  const std::string story = TextOf(output);
+  CHECK(story.find("answer_interrupted") != std::string::npos);
+  CHECK(story.find("ended midway; it ran") != std::string::npos);
+  CHECK(ExplainFromLog("request=none", log, output) == 2);
+  CHECK(ExplainFromLog("customer=erie", log, output) == 2);
+  CHECK(ExplainFromLog("request=e1", log.parent_path() / "none.log", output) == 2);
+}
+
+TEST_CASE("a request whose caller left before it was read isn't sent on") {
+  SmallWorld small;
+  Caller first(PlatformWorld::CallerAddress(1));
+  // The next request with this prompt goes to the same engine, over the connection that is open.
+  CHECK(first.Send("POST", "/plan/1", "g1", kPrompt).status == 200);
+  small.gateway->Signal(SIGSTOP);
+  {
+    http::asio::io_context io;
+    http::Tcp::socket socket(io);
+    socket.connect(*http::ParseEndpoint(PlatformWorld::CallerAddress(1)));
+    const std::string request =
+        "POST /plan/1 HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: g2\r\nX-Deadline-Ms: 4000\r\n"
+        "Authorization: Bearer key1\r\nX-Token-Usage: 300,20\r\n"
+        "X-Prompt-Prefix: aa:200,bb:100\r\nContent-Length: 0\r\n\r\n";
+    http::asio::write(socket, http::asio::buffer(request));
+  }
+  small.gateway->Signal(SIGCONT);
+  const auto log = small.world.LogPath(1);
+  REQUIRE(PlatformWorld::Await([&] {
+    const std::string text = TextOf(log);
+    const auto left = text.find("caller_left");
+    return left != std::string::npos && text.find("g2") != std::string::npos;
+  }));
+  CHECK(small.SentTo("g2").empty());
+  CHECK(first.Send("POST", "/plan/1", "g3", kPrompt).status == 200);
+}
+
+}  // namespace lagoonwind
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -51,6 +51,14 @@
   return {.status = 200, .content_type = "application/json", .body = body.dump()};
 }
 
+asio::awaitable<void> Pause(milliseconds time) {
+  if (time > milliseconds{0}) {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(time);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
 json RouteOf(const char* name, const char* prefix, const char* kind, const char* service) {
   return {{"name", name},       {"host", "shop"},    {"path_prefix", prefix}, {"type", kind},
           {"timeout_ms", 4000}, {"slo_ms", 600},     {"backend", service},    {"max_attempts", 3},
@@ -63,6 +71,7 @@
   std::string pattern = (std::filesystem::temp_directory_path() / "lagoonwind-XXXXXX").string();
   directory_ = mkdtemp(pattern.data());
   (void)http::Listen(store_, *http::ParseEndpoint("127.0.0.1:0"));
+  store_address_ = store_address();
   const http::Handler handler = [this](http::Request request) {
     return HandleStore(std::move(request));
   };
@@ -74,15 +83,34 @@
   gateways_.clear();
   io_.stop();
   thread_.join();
-  std::filesystem::remove_all(directory_);
+  if (!keeps_files_) {
+    std::filesystem::remove_all(directory_);
+  }
+}
+
+std::filesystem::path PlatformWorld::LogPath(int number) const {
+  return directory_ / absl::StrCat("gateway-", number, ".log");
+}
+
+std::string PlatformWorld::KeepFiles() {
+  keeps_files_ = true;
+  return directory_.string();
+}
+
+std::string PlatformWorld::store_address() const {
+  return http::FormatEndpoint(store_.local_endpoint());
 }
 
 void PlatformWorld::AddServer(const std::string& name, const std::string& service) {
+  Register({.name = name, .service = service, .address = OpenServer(name)});
+}
+
+std::string PlatformWorld::OpenServer(const std::string& name) {
   auto server = std::make_unique<Server>();
   server->name = name;
   server->acceptor = std::make_unique<http::Tcp::acceptor>(io_);
   (void)http::Listen(*server->acceptor, *http::ParseEndpoint("127.0.0.1:0"));
-  const std::string address = http::FormatEndpoint(server->acceptor->local_endpoint());
+  std::string address = http::FormatEndpoint(server->acceptor->local_endpoint());
   http::Tcp::acceptor& acceptor = *server->acceptor;
   std::size_t index = 0;
   {
@@ -94,18 +122,27 @@
     return HandleServer(index, std::move(request));
   };
   asio::co_spawn(io_, http::Serve(acceptor, handler, 1UL << 20U), asio::detached);
-  Put("keyed.servers", name,
-      json{{"backend", service},
-           {"addr", address},
+  return address;
+}
+
+void PlatformWorld::Register(const Registration& registration) {
+  Put("keyed.servers", registration.name,
+      json{{"backend", registration.service},
+           {"addr", registration.address},
            {"zone", "z1"},
            {"slots", 8},
-           {"state", "ready"},
+           {"state", registration.state},
            {"cold_left_ms", 0},
            {"seq", 1},
            {"born", 1}}
           .dump());
 }
 
+void PlatformWorld::SetWorkTime(milliseconds time) {
+  const std::scoped_lock lock(mutex_);
+  work_time_ = time;
+}
+
 void PlatformWorld::SetMode(const std::string& name, ServerMode mode) {
   const std::scoped_lock lock(mutex_);
   for (auto& server : servers_) {
@@ -223,12 +260,14 @@
   }
 }
 
-http::Response PlatformWorld::Stream(const http::Request& request, bool breaks) {
+http::Response PlatformWorld::Stream(const http::Request& request, bool breaks,
+                                     milliseconds pause) {
   const std::string last(http::FindField(request.fields, "Last-Event-Id"));
   auto next = std::make_shared<int>(last.empty() ? 1 : std::stoi(last) + 1);
   auto sent = std::make_shared<int>(0);
   http::Response response{.status = 200, .content_type = "text/event-stream"};
-  response.next_part = [next, sent, breaks]() -> asio::awaitable<absl::StatusOr<std::string>> {
+  response.next_part = [next, sent, breaks,
+                        pause]() -> asio::awaitable<absl::StatusOr<std::string>> {
     constexpr int kEventsBeforeBreak = 2;
     if (*next > kStreamEvents) {
       co_return std::string();
@@ -236,6 +275,7 @@
     if (breaks && *sent == kEventsBeforeBreak) {
       co_return absl::AbortedError("broken off");
     }
+    co_await Pause(pause);
     ++*sent;
     const int id = (*next)++;
     co_return absl::StrCat("id: ", id, "\ndata: event ", id, "\n\n");
@@ -247,12 +287,17 @@
                                                             http::Request request) {
   ServerMode mode = ServerMode::kAnswer;
   std::string name;
+  milliseconds work_time{0};
   {
     const std::scoped_lock lock(mutex_);
     mode = servers_[index]->mode;
     name = servers_[index]->name;
-    seen_.push_back({.server = name, .request = request});
+    work_time = work_time_;
+    const bool expected = http::FindField(request.fields, "X-Expect-Instance") == name;
+    seen_.push_back(
+        {.server = name, .request = request, .ran = expected && mode != ServerMode::kNotRun});
   }
+  co_await Pause(work_time);
   const std::string id(http::FindField(request.fields, "X-Attempt-Id"));
   const http::Field echo{.name = "X-Attempt-Id", .value = id};
   if (http::FindField(request.fields, "X-Expect-Instance") != name) {
@@ -274,7 +319,7 @@
   const http::Field seal{.name = "X-Server-Seal", .value = absl::StrCat(name, ".", id)};
   const bool streams = request.target.starts_with("/plan/") || request.target.starts_with("/chat/");
   if (mode != ServerMode::kFail && streams) {
-    auto response = Stream(request, mode == ServerMode::kBreakStream);
+    auto response = Stream(request, mode == ServerMode::kBreakStream, work_time);
     response.fields = {echo, seal};
     co_return response;
   }
@@ -331,14 +376,14 @@
       {"seeds", {absl::StrCat(IpOf(1), ":1"), absl::StrCat(IpOf(2), ":1")}},
       {"limits", {{"ram_mb", 110}, {"cpu_share", 1}}},
       {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 54}}},
-      {"platform", {{"addr", http::FormatEndpoint(store_.local_endpoint())}}}};
+      {"platform", {{"addr", store_address_}}}};
   const auto path = directory_ / absl::StrCat("node-", number, ".json");
   std::ofstream(path) << settings.dump();
   setenv("LAGOONWIND_BOOT", path.c_str(), 1);
   gateways_.push_back(std::make_unique<Process>(
       absl::StrCat("gateway-", number),
       std::vector<std::string>{absl::StrCat(LAGOONWIND_BUILD_DIR, "/lagoonwindd"), "--platform"},
-      directory_ / absl::StrCat("gateway-", number, ".log")));
+      LogPath(number)));
   if (await_ready) {
     Await([&] { return Readiness(number) == 200; });
   }
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <filesystem>
 #include <map>
 #include <mutex>
@@ -32,6 +33,16 @@
 struct SeenRequest {
   std::string server;
   http::Request request;
+  /// False if the backend server stated that it hasn't run it.
+  bool ran = true;
+};
+
+/// An entry of a backend server in the store.
+struct Registration {
+  std::string name;
+  std::string service;
+  std::string address;
+  std::string state = "ready";
 };
 
 /// Stand-ins of the users' platform, their store and backend servers, and gateways as processes on
@@ -45,6 +56,11 @@
 
   /// Adds a backend server of service `model` or `desk`.
   void AddServer(const std::string& name, const std::string& service);
+  /// Opens a backend server that nobody knows of yet. \return Its `IP:PORT`.
+  std::string OpenServer(const std::string& name);
+  void Register(const Registration& registration);
+  /// Time that backend servers take for an answer, and between the events of a stream.
+  void SetWorkTime(std::chrono::milliseconds time);
   void SetMode(const std::string& name, ServerMode mode);
   /// Gives its address to another backend server, as after a restart that the list doesn't show.
   void Rename(const std::string& name, const std::string& now);
@@ -54,6 +70,9 @@
   /// Writes or, without a value, deletes a record of `keyed.servers` or `keyed.op`.
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   void Delete(const std::string& topic, const std::string& key);
+  [[nodiscard]] std::string store_address() const;
+  /// Address at which gateways that start from now on find the store.
+  void SetStoreAddress(const std::string& address) { store_address_ = address; }
   /// Makes the store refuse all calls, or answer again.
   void SetStoreDown(bool down);
   /// Calls that the store refused so far.
@@ -74,6 +93,11 @@
   /// What backend servers were sent.
   [[nodiscard]] std::vector<SeenRequest> Seen() const;
 
+  /// Log of the gateway that was started with this number.
+  [[nodiscard]] std::filesystem::path LogPath(int number) const;
+  /// Leaves settings and logs of gateways behind. \return Their directory.
+  std::string KeepFiles();
+
  private:
   struct Server {
     std::string name;
@@ -90,7 +114,8 @@
   http::asio::awaitable<http::Response> HandleServer(std::size_t index, http::Request request);
   http::Response ReadNewest(const std::string& topic) const;
   http::Response ReadFrom(const std::string& topic, std::int64_t from) const;
-  static http::Response Stream(const http::Request& request, bool breaks);
+  static http::Response Stream(const http::Request& request, bool breaks,
+                               std::chrono::milliseconds pause);
 
   http::asio::io_context io_;
   http::Tcp::acceptor store_;
@@ -99,6 +124,9 @@
   std::vector<StoredRecord> records_;
   std::vector<SeenRequest> seen_;
   bool store_down_ = false;
+  std::string store_address_;
+  std::chrono::milliseconds work_time_{0};
+  bool keeps_files_ = false;
   int refused_store_calls_ = 0;
   std::filesystem::path directory_;
   std::vector<std::unique_ptr<Process>> gateways_;
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -54,6 +54,13 @@
   }
 }
 
+bool Process::HasEnded() const {
+  siginfo_t info{};
+  return running() &&
+         waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == pid_;
+}
+
 int Process::Wait() {
   constexpr int kSignalled = 128;
   int status = 0;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -23,6 +23,8 @@
   [[nodiscard]] bool running() const { return pid_ > 0; }
 
   void Signal(int signal) const;
+  /// True if it was started and has ended, whether by itself or not.
+  [[nodiscard]] bool HasEnded() const;
   /// Waits for the end. \return Exit code, or 128 and the signal that ended it.
   int Wait();
   /// Kills with SIGKILL and waits.
