--- a/tests/end_to_end/gateway_test.cc
+++ b/tests/end_to_end/gateway_test.cc
@@ -296,6 +296,7 @@
 /// Runs lagoonctl on a gateway's log. \return Its exit code; its output goes to `output`.
 int ExplainFromLog(const std::string& subject, const std::filesystem::path& log,
                    const std::filesystem::path& output) {
+  const std::string tool_path = std::string(LAGOONWIND_BUILD_DIR) + "/lagoonctl";
   testing::Process tool("lagoonctl", {tool_path, "explain", subject, "--log", log.string()},
                         output);
   return tool.Wait();
