--- a/tests/unit/send_limits_test.cc
+++ b/tests/unit/send_limits_test.cc
@@ -53,6 +53,22 @@
   CHECK(share.Usage(hot, At(9000)) == 0);
 }
 
+TEST_CASE("until somebody is refused, the largest customer counts as at its share") {
+  CustomerShare share(seconds(4));
+  const CustomerId hot{1};
+  const CustomerId light{2};
+  share.Asked(hot, 1000, At(0));
+  share.Admitted(hot, 1000, At(0));
+  share.Asked(light, 100, At(0));
+  share.Admitted(light, 100, At(0));
+  CHECK(share.Usage(hot, At(100)) == doctest::Approx(1));
+  CHECK(share.Usage(light, At(100)) == doctest::Approx(0.1));
+  // What it gets until the share is worked out anew doesn't take it beyond.
+  share.Asked(hot, 1000, At(110));
+  share.Admitted(hot, 1000, At(110));
+  CHECK(share.Usage(hot, At(110)) == doctest::Approx(1));
+}
+
 TEST_CASE("repeated sends stay within the fleet's budget whatever the gateways know") {
   // Four gateways that lose sight of each other use their parts only.
   const RetryBudgetInit init{.ratio = 0.2, .slack = 54, .window = seconds(10)};
