--- a/tests/end_to_end/gateway_test.cc
+++ b/tests/end_to_end/gateway_test.cc
@@ -281,9 +281,6 @@
   CHECK(small.gateway->Wait() == 0);
 }
 
-}  // namespace lagoonwind
-
-namespace lagoonwind {
 namespace {
 
 std::string TextOf(const std::filesystem::path& path) {
