--- a/packages/policy/include/lagoonwind/dispatch.h
+++ b/packages/policy/include/lagoonwind/dispatch.h
@@ -99,9 +99,10 @@
   Duration retry_after{0};
 };
 
-/// Chooses the backend server with the earliest expected first byte, and refuses at once what
-/// would begin too late. Load patterns: bursts beyond what engines can read, hot prompt parts, one
-/// customer's flood, cold backend servers, long prompts beside short ones. Not thread safe.
+/// Chooses the backend server that costs callers least, of time and of reading again, and refuses
+/// at once what would begin too late. Load patterns: bursts beyond what engines can read, hot
+/// prompt parts, one customer's flood, cold backend servers, long prompts beside short ones. Not
+/// thread safe.
 class Dispatch {
  public:
   /// \param load, share, health, cold  Must outlive it.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,9 +8,10 @@
 failed=0
 known=0
 mkdir -p build/test-logs
-for program in build/tests/*_test; do
-  name=$(basename "$program")
-  if timeout 300 "$program" >"build/test-logs/$name.log" 2>&1; then
+# Counts one finished program by its exit code.
+count() {
+  local name=$1 code=$2
+  if [ "$code" -eq 0 ]; then
     passed=$((passed + 1))
   elif grep -q "^test: $name\$" KNOWN-RED.txt 2>/dev/null; then
     known=$((known + 1))
@@ -21,6 +22,24 @@
     echo "FAILED: $name"
     tail -n 60 "build/test-logs/$name.log"
   fi
+}
+# The soak mostly waits for its steps, so it runs beside the other tests.
+timeout 300 build/gateway_soak --seconds 4 --seeds 101-104 >build/test-logs/gateway_soak.log 2>&1 &
+soak=$!
+timeout 300 build/gateway_soak --seconds 4 --regressions tests/soak/regression_seeds.txt \
+  >build/test-logs/gateway_soak_regressions.log 2>&1 &
+regressions=$!
+for program in build/tests/*_test; do
+  name=$(basename "$program")
+  code=0
+  timeout 300 "$program" >"build/test-logs/$name.log" 2>&1 || code=$?
+  count "$name" "$code"
 done
+code=0
+wait "$soak" || code=$?
+count gateway_soak "$code"
+code=0
+wait "$regressions" || code=$?
+count gateway_soak_regressions "$code"
 echo "$passed passed, $failed failed, $known skipped"
 [ "$failed" -eq 0 ]
