--- a/packages/gateway/include/lagoonwind/gateway_types.h
+++ b/packages/gateway/include/lagoonwind/gateway_types.h
@@ -148,6 +148,8 @@
   std::uint16_t metrics_port = 0;
   /// Memory available to the process.
   std::uint64_t memory_bytes = 0;
+  /// Number of descriptors that the process may have open.
+  std::size_t max_descriptors = 4096;
   /// Number of CPU cores available to the process; may be a fraction.
   double cpu_cores = 1;
   /// Time from SIGTERM to the exit of the process.
--- a/packages/gateway/src/backend_pool.cc
+++ b/packages/gateway/src/backend_pool.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cerrno>
+#include <numeric>
 
 #include "clock.h"
 #include "lagoonwind/http.h"
@@ -27,8 +28,6 @@
 constexpr double kKeepAliveFraction = 0.7;
 /// Reuse period of a connection if the backend server states no keep-alive time.
 constexpr milliseconds kDefaultKeepAlive{250};
-/// Largest number of idle connections per backend server.
-constexpr std::size_t kMaxIdlePerServer = 64;
 
 enum class SocketState { kIdle, kReadable, kClosed };
 
@@ -103,17 +102,36 @@
   co_return connection;
 }
 
-void BackendPool::Release(ServerId server, Connection connection, milliseconds keep_alive) {
+void BackendPool::Release(ServerId server, Connection connection, milliseconds keep_alive,
+                          std::size_t max_idle) {
   const auto lifetime = keep_alive > milliseconds(0)
                             ? std::chrono::duration_cast<Duration>(keep_alive * kKeepAliveFraction)
                             : Duration{kDefaultKeepAlive};
   auto& idle = idle_connections_[server];
-  if (idle.size() >= kMaxIdlePerServer) {
-    idle.erase(idle.begin());
-  }
   connection->usable_until = Now() + lifetime;
   connection->reused = true;
   idle.push_back(std::move(connection));
+  if (idle.size() > max_idle) {
+    idle.erase(idle.begin());
+  }
+}
+
+void BackendPool::CloseExpired(Time now) {
+  for (auto it = idle_connections_.begin(); it != idle_connections_.end();) {
+    std::erase_if(it->second,
+                  [&](const Connection& connection) { return now >= connection->usable_until; });
+    if (it->second.empty()) {
+      idle_connections_.erase(it++);
+    } else {
+      ++it;
+    }
+  }
+}
+
+std::size_t BackendPool::idle_count() const {
+  return std::accumulate(
+      idle_connections_.begin(), idle_connections_.end(), std::size_t{0},
+      [](std::size_t sum, const auto& item) { return sum + item.second.size(); });
 }
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/backend_pool.h
+++ b/packages/gateway/src/backend_pool.h
@@ -46,10 +46,17 @@
   asio::awaitable<absl::StatusOr<Connection>> Open(std::string address);
   /// Returns a connection to the pool. Its response must have been read completely.
   /// \param keep_alive  Time for which the backend server keeps it open; zero if not stated.
-  void Release(ServerId server, Connection connection, milliseconds keep_alive);
+  /// \param max_idle    Largest number of idle connections to the backend server.
+  void Release(ServerId server, Connection connection, milliseconds keep_alive,
+               std::size_t max_idle);
+  /// Closes idle connections that are no longer reused. They occupy descriptors here and count
+  /// towards the backend servers' connection limits.
+  void CloseExpired(Time now);
   /// Closes all idle connections to a backend server.
   void CloseIdle(ServerId server) { idle_connections_.erase(server); }
   [[nodiscard]] std::uint64_t opened() const { return opened_; }
+  /// Number of idle connections to all backend servers.
+  [[nodiscard]] std::size_t idle_count() const;
 
  private:
   asio::io_context& io_;
--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -40,14 +40,18 @@
 
 CallerSession::CallerSession(GatewayContext& context, asio::ip::tcp::socket socket)
     : context_(context),
+      sessions_(context.sessions),
       socket_(std::move(socket)),
       timer_(context.io),
       disconnect_timer_(context.io),
       writer_(socket_) {
   ErrorCode ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  sessions_->insert(this);
 }
 
+CallerSession::~CallerSession() { sessions_->erase(this); }
+
 void CallerSession::SetReadTimeout(Duration timeout) {
   timed_out_ = false;
   timer_.expires_after(timeout);
@@ -61,7 +65,8 @@
 }
 
 void CallerSession::CloseIfIdle() {
-  if (idle_) {
+  if (idle_since_) {
+    idle_since_.reset();
     ErrorCode ignored;
     socket_.cancel(ignored);
   }
@@ -74,11 +79,11 @@
   const auto configuration = context_.fleet.configuration();
   const CallerLimits limits = configuration == nullptr ? CallerLimits{} : configuration->limits;
   SetReadTimeout(limits.idle_timeout);
-  idle_ = true;
+  idle_since_ = Now();
   ErrorCode error;
   co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
                               asio::redirect_error(asio::use_awaitable, error));
-  idle_ = false;
+  idle_since_.reset();
   timer_.cancel();
   co_return !error;
 }
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -18,11 +18,16 @@
  public:
   /// \param context  Must outlive this object.
   CallerSession(GatewayContext& context, asio::ip::tcp::socket socket);
+  ~CallerSession();
+  CallerSession(const CallerSession&) = delete;
+  CallerSession& operator=(const CallerSession&) = delete;
 
   /// Serves the connection until it closes. Keeps `session` alive meanwhile.
   static asio::awaitable<void> Run(std::shared_ptr<CallerSession> session);
   /// Closes the connection if no request is in progress on it.
   void CloseIfIdle();
+  /// Since when the connection has waited for a request; absent while one is in progress.
+  [[nodiscard]] std::optional<Time> idle_since() const { return idle_since_; }
 
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -44,12 +49,13 @@
   void WatchForDisconnect(const std::weak_ptr<Exchange>& exchange);
 
   GatewayContext& context_;
+  std::shared_ptr<SessionSet> sessions_;
   asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   asio::steady_timer timer_;
   asio::steady_timer disconnect_timer_;
   CallerWriter writer_;
-  bool idle_ = false;
+  std::optional<Time> idle_since_;
   bool timed_out_ = false;
 };
 
--- a/packages/gateway/src/event_log.cc
+++ b/packages/gateway/src/event_log.cc
@@ -6,7 +6,11 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <chrono>
+#include <cmath>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "clock.h"
@@ -14,17 +18,75 @@
 namespace lagoonwind::gateway {
 namespace {
 
-/// Log lines per second and core. Writing a line takes about 30 us, so logging takes at most a
-/// twentieth of the process's CPU time.
+/// Log lines per second and core. They bound the share of the process's CPU time that logging
+/// takes.
 constexpr double kMaxRoutineLinesPerSecond = 600;
 constexpr double kMaxFailureLinesPerSecond = 1000;
 /// Largest number of bytes buffered for standard output.
 constexpr std::size_t kMaxBufferedBytes = 512UL << 10U;
 /// Number of bytes that a pipe reported as writable accepts without blocking.
 constexpr std::size_t kPipeWriteBytes = 4096;
+/// Typical length of a line, in bytes.
+constexpr std::size_t kLineBytes = 512;
+/// Longest text of a number.
+constexpr std::size_t kNumberBytes = 32;
+
+template <class Number>
+void AppendNumber(Number number, std::string& out) {
+  std::array<char, kNumberBytes> text{};
+  const auto end = std::to_chars(text.data(), text.data() + text.size(), number).ptr;
+  out.append(text.data(), end);
+}
+
+/// True for characters that JSON strings contain unchanged and that are complete UTF-8 sequences.
+bool IsPlainCharacter(char character) {
+  return character >= ' ' && character <= '~' && character != '"' && character != '\\';
+}
+
+void AppendText(std::string_view text, std::string& out) {
+  if (std::ranges::all_of(text, IsPlainCharacter)) {
+    out.append(1, '"').append(text).append(1, '"');
+  } else {
+    out.append(nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  }
+}
+
+/// Appends a value of each type that a log field can have.
+struct ValueWriter {
+  std::string& out;
+
+  void operator()(bool value) const { out.append(value ? "true" : "false"); }
+  void operator()(std::int64_t value) const { AppendNumber(value, out); }
+  void operator()(std::uint64_t value) const { AppendNumber(value, out); }
+  void operator()(double value) const {
+    if (std::isfinite(value)) {
+      AppendNumber(value, out);
+    } else {
+      out.append("null");
+    }
+  }
+  void operator()(std::string_view value) const { AppendText(value, out); }
+  void operator()(std::span<const std::string> values) const {
+    out.push_back('[');
+    for (const std::string& value : values) {
+      out.append(&value == values.data() ? "" : ",");
+      AppendText(value, out);
+    }
+    out.push_back(']');
+  }
+};
+
+void AppendField(std::string_view name, const LogValue& value, std::string& out) {
+  out.append(out.empty() ? "{" : ",");
+  AppendText(name, out);
+  out.push_back(':');
+  value.AppendTo(out);
+}
 
 }  // namespace
 
+void LogValue::AppendTo(std::string& out) const { std::visit(ValueWriter{out}, value_); }
+
 /// Buffers lines and writes them in blocks that do not block on standard output.
 class EventLog::Sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
@@ -58,11 +120,10 @@
 };
 
 EventLog::EventLog(std::string_view process, double cpu_cores)
-    : process_(process),
-      cpu_cores_(cpu_cores),
-      sink_(std::make_shared<Sink>()),
-      logger_("events", sink_) {
+    : cpu_cores_(cpu_cores), sink_(std::make_shared<Sink>()), logger_("events", sink_) {
   logger_.set_level(spdlog::level::trace);
+  process_field_ = ",\"process\":";
+  AppendText(process, process_field_);
 }
 
 EventLog::~EventLog() { Flush(); }
@@ -86,18 +147,23 @@
 }
 
 void EventLog::Write(Severity severity, std::string_view event,
-                     const nlohmann::ordered_json& fields) {
+                     std::initializer_list<LogField> fields) {
   if (!WithinRate(severity) || !sink_->HasRoom()) {
     ++dropped_;
     return;
   }
   const auto wall_time = std::chrono::system_clock::now().time_since_epoch();
-  nlohmann::ordered_json line{
-      {"time_ms", std::chrono::duration_cast<std::chrono::milliseconds>(wall_time).count()},
-      {"process", process_},
-      {"event", event}};
-  line.update(fields);
-  logger_.info(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  std::string line;
+  line.reserve(kLineBytes);
+  AppendField("time_ms", std::chrono::duration_cast<std::chrono::milliseconds>(wall_time).count(),
+              line);
+  line.append(process_field_);
+  AppendField("event", event, line);
+  for (const LogField& field : fields) {
+    AppendField(field.name, field.value, line);
+  }
+  line.push_back('}');
+  logger_.info(line);
 }
 
 void EventLog::Flush() {
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -129,8 +129,10 @@
   const auto configuration = context_.fleet.configuration();
   const auto service = configuration->services.find(service_);
   const bool is_engine = service != configuration->services.end() && service->second.engine;
+  const auto known_servers = context_.fleet.EligibleServers(service_);
   std::vector<policy::Candidate> candidates;
-  for (const KnownServer* known : context_.fleet.EligibleServers(service_)) {
+  candidates.reserve(known_servers.size());
+  for (const KnownServer* known : known_servers) {
     if (std::ranges::find(tried_servers_, known->server.id) != tried_servers_.end()) {
       continue;
     }
@@ -144,14 +146,19 @@
   return candidates;
 }
 
+std::vector<int> Exchange::OutstandingRequests(
+    std::span<const policy::Candidate> candidates) const {
+  std::vector<int> outstanding(candidates.size());
+  std::ranges::transform(candidates, outstanding.begin(), [this](const auto& candidate) {
+    const auto found = context_.outstanding.find(candidate.server);
+    return found == context_.outstanding.end() ? 0 : found->second;
+  });
+  return outstanding;
+}
+
 policy::DispatchDecision Exchange::Decide(Time now) {
   const std::vector<policy::Candidate> candidates = Candidates(now);
-  std::vector<int> outstanding;
-  outstanding.reserve(candidates.size());
-  for (const auto& candidate : candidates) {
-    const auto found = context_.outstanding.find(candidate.server);
-    outstanding.push_back(found == context_.outstanding.end() ? 0 : found->second);
-  }
+  const std::vector<int> outstanding = OutstandingRequests(candidates);
   const auto& prompt = accepted_.request.prompt;
   const policy::DispatchRequest request{.customer = HandleOf<CustomerId>(accepted_.customer),
                                         .prompt = prompt ? &*prompt : nullptr,
@@ -328,29 +335,29 @@
   const bool success = status / 100 == 2;
   context_.metrics.ObserveRequest(Name(accepted_.route->kind), accepted_.customer, outcome,
                                   Milliseconds(now - accepted_.arrived) / 1000);
-  nlohmann::ordered_json fields{
-      {"request", accepted_.request.id},
-      {"customer", accepted_.customer},
-      {"route", accepted_.route->name},
-      {"configuration", accepted_.configuration_version},
-      {"outcome", outcome},
-      {"status", status},
-      {"server", last_server_},
-      {"sends", attempts_},
-      {"verdict", policy::Name(first_decision_.verdict)},
-      {"wait_ms", Milliseconds(estimate.queueing_delay)},
-      {"read_ms", Milliseconds(estimate.prefill_time)},
-      {"unread_tokens", estimate.uncached_tokens},
-      {"repeated_tokens", estimate.cached_elsewhere_tokens},
-      {"running", estimate.running},
-      {"usage", first_decision_.usage},
-      {"server_heard_ms", known == nullptr ? -1.0 : Milliseconds(now - known->last_received)},
-      {"peers", context_.peers.live_count()},
-      {"loop_late_ms", Milliseconds(context_.monitor.lag())},
-      {"first_byte_ms",
-       first_byte_at_ == Time{} ? -1.0 : Milliseconds(first_byte_at_ - accepted_.arrived)},
-      {"total_ms", Milliseconds(now - accepted_.arrived)}};
-  context_.log.Write(success ? Severity::kRoutine : Severity::kFailure, "request_done", fields);
+  context_.log.Write(
+      success ? Severity::kRoutine : Severity::kFailure, "request_done",
+      {{"request", accepted_.request.id},
+       {"customer", accepted_.customer},
+       {"route", accepted_.route->name},
+       {"configuration", accepted_.configuration_version},
+       {"outcome", outcome},
+       {"status", status},
+       {"server", last_server_},
+       {"sends", attempts_},
+       {"verdict", policy::Name(first_decision_.verdict)},
+       {"wait_ms", Milliseconds(estimate.queueing_delay)},
+       {"read_ms", Milliseconds(estimate.prefill_time)},
+       {"unread_tokens", estimate.uncached_tokens},
+       {"repeated_tokens", estimate.cached_elsewhere_tokens},
+       {"running", estimate.running},
+       {"usage", first_decision_.usage},
+       {"server_heard_ms", known == nullptr ? -1.0 : Milliseconds(now - known->last_received)},
+       {"peers", context_.peers.live_count()},
+       {"loop_late_ms", Milliseconds(context_.monitor.lag())},
+       {"first_byte_ms",
+        first_byte_at_ == Time{} ? -1.0 : Milliseconds(first_byte_at_ - accepted_.arrived)},
+       {"total_ms", Milliseconds(now - accepted_.arrived)}});
 }
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,9 @@
   asio::awaitable<bool> Serve();
   [[nodiscard]] policy::DispatchDecision Decide(Time now);
   [[nodiscard]] std::vector<policy::Candidate> Candidates(Time now) const;
+  /// Number of requests of this gateway that run on each candidate.
+  [[nodiscard]] std::vector<int> OutstandingRequests(
+      std::span<const policy::Candidate> candidates) const;
   [[nodiscard]] double ColdRate(const KnownServer& known, Time now) const;
   asio::awaitable<AttemptResult> AttemptServer(ServerId server);
   asio::awaitable<AttemptResult> AttemptOnConnection(BackendPool::Connection connection,
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -121,7 +121,8 @@
     --unresolved_attempts_;
   }
   if (call.reusable() && abort_reason_ == AbortReason::kNone) {
-    context_.pool.Release(server.id, call.connection(), call.response_info().keep_alive);
+    context_.pool.Release(server.id, call.connection(), call.response_info().keep_alive,
+                          context_.MaxIdleConnections(service_));
   }
   co_return result;
 }
--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -95,6 +95,7 @@
     return;
   }
   const std::string& zone = change->evacuated_zone;
+  indexes_outdated_ = true;
   if (change->evacuation_ended) {
     evacuated_zones_.erase(zone);
     // Backend servers in the zone may have become cold during the evacuation.
@@ -134,6 +135,7 @@
       RemoveServer(record.key, "restarted");
     }
   }
+  indexes_outdated_ = true;
   const auto [it, inserted] = servers_.try_emplace(record.key);
   KnownServer& current = it->second;
   const bool changed =
@@ -207,6 +209,7 @@
   }
   const BackendServer server = found->second.server;
   servers_.erase(found);
+  indexes_outdated_ = true;
   log_.Write(Severity::kState, "server_gone", {{"server", server.name}, {"reason", reason}});
   if (on_server_removed_) {
     on_server_removed_(server);
@@ -221,21 +224,32 @@
   }
 }
 
-std::vector<const KnownServer*> FleetState::EligibleServers(std::string_view service) const {
-  std::vector<const KnownServer*> usable;
+void FleetState::UpdateIndexes() const {
+  if (!indexes_outdated_) {
+    return;
+  }
+  eligible_by_service_.clear();
+  servers_by_id_.clear();
   for (const auto& [key, known] : servers_) {
-    if (known.server.service == service && !known.server.draining &&
-        !evacuated_zones_.contains(known.server.zone)) {
-      usable.push_back(&known);
+    servers_by_id_.emplace(known.server.id, &known);
+    if (!known.server.draining && !evacuated_zones_.contains(known.server.zone)) {
+      eligible_by_service_[known.server.service].push_back(&known);
     }
   }
-  return usable;
+  indexes_outdated_ = false;
+}
+
+std::span<const KnownServer* const> FleetState::EligibleServers(std::string_view service) const {
+  UpdateIndexes();
+  const auto found = eligible_by_service_.find(std::string(service));
+  return found == eligible_by_service_.end() ? std::span<const KnownServer* const>{}
+                                             : found->second;
 }
 
 const KnownServer* FleetState::Find(ServerId id) const {
-  const auto found =
-      std::ranges::find_if(servers_, [&](const auto& item) { return item.second.server.id == id; });
-  return found == servers_.end() ? nullptr : &found->second;
+  UpdateIndexes();
+  const auto found = servers_by_id_.find(id);
+  return found == servers_by_id_.end() ? nullptr : found->second;
 }
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/fleet_state.h
+++ b/packages/gateway/src/fleet_state.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -68,9 +69,10 @@
   /// Latest records of a topic, served to peers that cannot reach the store.
   [[nodiscard]] const std::map<std::string, std::string>& records(Topic topic) const;
 
-  /// Backend servers of a service that are neither draining nor in an evacuated zone.
-  [[nodiscard]] std::vector<const KnownServer*> EligibleServers(std::string_view service) const;
-  /// Returns null if the backend server is unknown.
+  /// Backend servers of a service that are neither draining nor in an evacuated zone. Valid until
+  /// records are next applied or removed.
+  [[nodiscard]] std::span<const KnownServer* const> EligibleServers(std::string_view service) const;
+  /// Returns null if the backend server is unknown. Valid as long as those of EligibleServers().
   [[nodiscard]] const KnownServer* Find(ServerId id) const;
   [[nodiscard]] std::size_t server_count() const { return servers_.size(); }
 
@@ -82,6 +84,8 @@
   void ApplyServerRecord(const Record& record, Time now);
   void MarkMissing(const std::string& key, Time now);
   void RemoveServer(const std::string& key, std::string_view reason);
+  /// Builds the indexes of backend servers unless they are up to date.
+  void UpdateIndexes() const;
   static std::vector<Record> MissingRecords(const std::map<std::string, std::string>& known,
                                             const RecordPage& page);
 
@@ -92,6 +96,11 @@
   absl::flat_hash_set<std::string> evacuated_zones_;
   /// By record key.
   absl::flat_hash_map<std::string, KnownServer> servers_;
+  /// Indexes of `servers_`, so that a request does not search all of them; empty and marked as
+  /// outdated by each change.
+  mutable absl::flat_hash_map<std::string, std::vector<const KnownServer*>> eligible_by_service_;
+  mutable absl::flat_hash_map<ServerId, const KnownServer*> servers_by_id_;
+  mutable bool indexes_outdated_ = true;
   std::map<Topic, std::map<std::string, std::string>> records_;
   std::map<Topic, std::int64_t> offsets_;
   bool store_unreachable_ = false;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -41,8 +41,22 @@
 /// running.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
 constexpr milliseconds kDrainPollInterval{100};
-/// Largest number of open caller connections.
-constexpr std::size_t kMaxSessions = 2500;
+/// Descriptors that are not available to callers' and backend servers' connections: listening
+/// ports, peers, store, log and files.
+constexpr std::size_t kReservedDescriptors = 300;
+/// Fraction of the other descriptors that callers' connections may occupy. The rest is for
+/// connections to backend servers, of which a request needs one.
+constexpr double kCallerDescriptorFraction = 0.55;
+/// Connections accepted between two polls for other events.
+constexpr int kMaxAcceptsPerWakeup = 64;
+constexpr milliseconds kAcceptRetryPause{20};
+
+/// Largest number of callers' connections with which the process stays within its descriptors.
+std::size_t MaxSessions(std::size_t descriptors) {
+  const std::size_t available = descriptors - std::min(descriptors, kReservedDescriptors);
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(kCallerDescriptorFraction * static_cast<double>(available)));
+}
 
 /// Gateway process: listening ports, store followers and drain.
 class Gateway {
@@ -61,7 +75,8 @@
         readiness_acceptor_(io_),
         metrics_acceptor_(io_),
         stop_signals_(io_, SIGTERM, SIGINT),
-        reload_signals_(io_, SIGHUP) {}
+        reload_signals_(io_, SIGHUP),
+        max_sessions_(MaxSessions(settings.max_descriptors)) {}
 
   int Run() {
     const absl::Status started = Start();
@@ -171,35 +186,78 @@
     }
   }
 
+  /// Accepts all connections that are ready, so that callers wait where the loop monitor sees it
+  /// instead of in the kernel's queue.
   asio::awaitable<void> AcceptCallers() {
+    ErrorCode error;
+    caller_acceptor_.non_blocking(true, error);
+    asio::steady_timer pause(io_);
     for (;;) {
-      ErrorCode error;
-      asio::ip::tcp::socket socket =
-          co_await caller_acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
-      if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+      co_await caller_acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read,
+                                           asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
         co_return;
       }
-      std::erase_if(sessions_, [](const auto& session) { return session.expired(); });
-      const bool saturated = context_.monitor.saturated();
-      if (error || saturated || sessions_.size() >= kMaxSessions) {
-        // Closing without a response is the cheapest way to make callers connect to another
-        // gateway.
+      for (int accepted = 0; accepted < kMaxAcceptsPerWakeup && !error; ++accepted) {
+        error = AcceptCaller();
+      }
+      if (error && error != asio::error::would_block) {
+        // Out of descriptors or memory: the connection stays queued, so that an immediate retry
+        // would fail in the same way.
         context_.log.Write(Severity::kFailure, "connection_not_taken",
-                           {{"reason", error       ? error.message()
-                                       : saturated ? "overloaded"
-                                                   : "too many connections"}});
-        continue;
+                           {{"reason", error.message()}, {"sessions", context_.sessions->size()}});
+        pause.expires_after(kAcceptRetryPause);
+        co_await pause.async_wait(asio::use_awaitable);
       }
-      const auto session = std::make_shared<CallerSession>(context_, std::move(socket));
-      sessions_.push_back(session);
-      Spawn(io_, context_.log, "caller_session", CallerSession::Run(session));
     }
   }
 
+  ErrorCode AcceptCaller() {
+    ErrorCode error;
+    asio::ip::tcp::socket socket(io_);
+    caller_acceptor_.accept(socket, error);
+    if (error) {
+      return error;
+    }
+    const bool saturated = context_.monitor.saturated();
+    if (saturated || !MakeRoomForSession()) {
+      // Closing without a response is the cheapest way to make callers connect to another gateway.
+      context_.log.Write(Severity::kFailure, "connection_not_taken",
+                         {{"reason", saturated ? "overloaded" : "too many connections"},
+                          {"sessions", context_.sessions->size()},
+                          {"limit", max_sessions_}});
+      return error;
+    }
+    Spawn(io_, context_.log, "caller_session",
+          CallerSession::Run(std::make_shared<CallerSession>(context_, std::move(socket))));
+    return error;
+  }
+
+  /// Closes the connection that has been idle longest if there is no room for another.
+  /// \return False if there is no room.
+  bool MakeRoomForSession() {
+    if (context_.sessions->size() < max_sessions_) {
+      return true;
+    }
+    CallerSession* longest_idle = nullptr;
+    for (CallerSession* session : *context_.sessions) {
+      if (session->idle_since() &&
+          (longest_idle == nullptr || *session->idle_since() < *longest_idle->idle_since())) {
+        longest_idle = session;
+      }
+    }
+    if (longest_idle == nullptr) {
+      return false;
+    }
+    longest_idle->CloseIfIdle();
+    return true;
+  }
+
   asio::awaitable<void> RunHousekeeping() {
     asio::steady_timer timer(io_);
     for (;;) {
       context_.fleet.RemoveMissingServers(Now());
+      context_.pool.CloseExpired(Now());
       context_.log.Flush();
       timer.expires_after(kHousekeepingInterval);
       co_await timer.async_wait(asio::use_awaitable);
@@ -232,15 +290,10 @@
       if (Now() - drain_started < kBalancerNoticeTime) {
         continue;
       }
-      std::erase_if(sessions_, [](const auto& session) { return session.expired(); });
-      if (sessions_.empty() && context_.active_requests == 0) {
+      if (context_.sessions->empty() && context_.active_requests == 0) {
         break;
       }
-      for (const auto& session : sessions_) {
-        if (const auto open = session.lock()) {
-          open->CloseIfIdle();
-        }
-      }
+      std::ranges::for_each(*context_.sessions, &CallerSession::CloseIfIdle);
     }
     io_.stop();
   }
@@ -255,7 +308,8 @@
   asio::ip::tcp::acceptor metrics_acceptor_;
   asio::signal_set stop_signals_;
   asio::signal_set reload_signals_;
-  std::vector<std::weak_ptr<CallerSession>> sessions_;
+  /// Largest number of open connections of callers.
+  const std::size_t max_sessions_;
 };
 
 }  // namespace
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -13,6 +13,11 @@
 constexpr Duration kCrashRepeatTime = std::chrono::milliseconds(500);
 /// Customers' figures change slowly, so only every third report includes them.
 constexpr std::uint64_t kReportsPerCustomerUpdate = 3;
+/// Fraction of a backend server's connection limit that the idle connections of all gateways may
+/// occupy.
+constexpr double kIdleConnectionFraction = 0.5;
+/// Largest number of idle connections to one backend server.
+constexpr double kMaxIdleConnections = 64;
 /// Number of reports between cleanups of the load reported by peers that went silent.
 constexpr std::uint64_t kReportsPerPeerCleanup = 10;
 
@@ -60,6 +65,16 @@
   return budgets.try_emplace(service, options).first->second;
 }
 
+std::size_t GatewayContext::MaxIdleConnections(const std::string& service) const {
+  const auto configuration = fleet.configuration();
+  const auto found = configuration->services.find(service);
+  const bool limited = found != configuration->services.end() && found->second.max_connections > 0;
+  const double limit =
+      limited ? kIdleConnectionFraction * found->second.max_connections / peers.fleet_size()
+              : kMaxIdleConnections;
+  return static_cast<std::size_t>(std::clamp(limit, 1.0, kMaxIdleConnections));
+}
+
 void GatewayContext::FillReport(wire::GatewayReport& report) {
   const Time now = Now();
   if (report_count_ % kReportsPerPeerCleanup == 0) {
--- a/packages/gateway/src/gateway_context.h
+++ b/packages/gateway/src/gateway_context.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <memory>
 #include <random>
 #include <string>
 
@@ -20,6 +22,9 @@
 
 namespace lagoonwind::gateway {
 
+class CallerSession;
+using SessionSet = absl::flat_hash_set<CallerSession*>;
+
 /// State shared by all requests of a gateway. Everything runs on one thread.
 struct GatewayContext {
   GatewayContext(asio::io_context& io, const Settings& own_settings, const Adapter& own_adapter);
@@ -29,6 +34,8 @@
   absl::Status Start();
   /// Retry budget of a service.
   policy::FleetRetryBudget& RetryBudgetFor(const std::string& service);
+  /// Largest number of idle connections that this gateway keeps to one backend server of a service.
+  [[nodiscard]] std::size_t MaxIdleConnections(const std::string& service) const;
   /// Uniformly distributed in [0, 1).
   double RandomFraction() { return std::uniform_real_distribution<double>(0, 1)(random); }
 
@@ -50,6 +57,8 @@
   CrashDetector crash_detector;
   policy::Dispatcher dispatcher;
   Peers peers;
+  /// Open connections of callers. Shared with them, as some are only destroyed with `io`.
+  std::shared_ptr<SessionSet> sessions = std::make_shared<SessionSet>();
   /// Number of requests from this gateway that are outstanding at each backend server.
   absl::flat_hash_map<ServerId, int> outstanding;
   absl::flat_hash_map<std::string, policy::FleetRetryBudget> budgets;
--- a/packages/policy/include/lagoonwind/dispatch.h
+++ b/packages/policy/include/lagoonwind/dispatch.h
@@ -136,8 +136,13 @@
                                             Time now) const;
   [[nodiscard]] double PlainServiceCost(const Candidate& candidate, int outstanding,
                                         std::uint64_t seed) const;
+  /// Properties of the request and the fleet that the costs of all engines depend on.
+  struct CostInputs {
+    double mean_queueing_delay_s = 0;
+    std::uint64_t shared_prefix_hash = 0;
+  };
   [[nodiscard]] double EngineCost(const DispatchRequest& request, const Candidate& candidate,
-                                  const EngineEstimate& estimate, double mean_queueing_delay) const;
+                                  const EngineEstimate& estimate, const CostInputs& inputs) const;
   [[nodiscard]] bool IsEligible(const Candidate& candidate, bool allow_ejected, Time now) const;
   /// Index of the cheapest option for which `eligible` is true.
   template <class Eligible>
@@ -145,7 +150,7 @@
                                                            const Eligible& eligible) {
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < options.size(); ++i) {
-      if (eligible(i) && (!best || options[i].cost < options[*best].cost)) {
+      if ((!best || options[i].cost < options[*best].cost) && eligible(i)) {
         best = i;
       }
     }
--- a/packages/policy/include/lagoonwind/engine_load.h
+++ b/packages/policy/include/lagoonwind/engine_load.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <span>
 #include <vector>
@@ -85,7 +86,7 @@
  public:
   using RequestNumber = std::uint64_t;
 
-  explicit EngineLoad(const EngineLoadOptions& options) : options_(options) {}
+  explicit EngineLoad(const EngineLoadOptions& options);
 
   /// Estimates latency and load for `prompt` at `server`.
   [[nodiscard]] EngineEstimate Estimate(ServerId server, const Prompt& prompt, Time now) const {
@@ -98,7 +99,7 @@
 
   /// Sets the KV cache capacity of an engine, in tokens.
   void SetKvCacheCapacity(ServerId server, std::int64_t tokens) {
-    engines_[server].kv_cache_tokens = tokens;
+    EngineOf(server).kv_cache_tokens = tokens;
   }
 
   /// Records that the prompt was sent to `server`.
@@ -124,7 +125,7 @@
   void DropSilentPeers(Time now);
 
   /// Removes an engine that is gone.
-  void Remove(ServerId server) { engines_.erase(server); }
+  void Remove(ServerId server);
   /// Estimated prefill rate of an engine, in tokens per second, learned from response times.
   [[nodiscard]] double prefill_rate() const { return prefill_rate_; }
 
@@ -144,12 +145,10 @@
     EngineReport last_report;
     Time last_received;
   };
-  struct SegmentUse {
-    Time used_at;
-    /// `Engine::total_prefill_tokens` at that time.
-    std::uint64_t end_position = 0;
-  };
+  /// Position in `engines_by_index_`. Never reused, so that it identifies an engine that is gone.
+  using EngineIndex = std::uint32_t;
   struct Engine {
+    EngineIndex index = 0;
     /// Expected time at which the engine finishes all queued prefill work.
     Time prefill_done_at{};
     /// Prefill tokens sent by all gateways so far.
@@ -163,18 +162,25 @@
     /// Sums over the last reports of all peers.
     std::int64_t peers_running = 0;
     std::int64_t peers_kv_tokens = 0;
-    /// Last use of each segment, by the hash of the prompt up to its end.
-    absl::flat_hash_map<std::uint64_t, SegmentUse> segments;
   };
   struct SentSegment {
     Time sent_at;
     SegmentReport report;
   };
+  /// Last use of a segment on one engine.
+  struct SegmentUse {
+    EngineIndex engine = 0;
+    Time used_at;
+    /// `Engine::total_prefill_tokens` at that time.
+    std::uint64_t end_position = 0;
+  };
   /// A segment that was recently prefilled on some engine.
   struct KnownSegment {
     Time last_used{};
     /// Uses on all engines, with exponential decay.
     double uses = 0;
+    /// Engines that have prefilled it, one entry each. Some may have evicted it since.
+    std::vector<SegmentUse> engines;
   };
   /// A segment of the prompt that an estimate is made for.
   struct SegmentLookup {
@@ -183,6 +189,8 @@
     std::int64_t tokens = 0;
     bool known = false;
     double uses = 0;
+    /// Null if no engine has prefilled it.
+    const KnownSegment* segment = nullptr;
     /// Number of the estimated engines that cache it.
     int caching_engines = 0;
   };
@@ -191,30 +199,39 @@
   /// \param since  Earliest time at which the engine may have started on the tokens.
   void AddPrefillWork(Engine& engine, std::uint64_t tokens, Time since) const;
   [[nodiscard]] std::vector<SegmentLookup> LookUpSegments(const Prompt& prompt, Time now) const;
-  /// Number of leading segments that the engine caches.
-  [[nodiscard]] std::size_t CountCachedSegments(const Engine* engine,
-                                                std::span<const SegmentLookup> segments,
-                                                Time now) const;
+  /// Number of leading segments that each engine caches, by engine index.
+  [[nodiscard]] std::vector<std::uint16_t> CountCachedSegments(
+      std::span<const SegmentLookup> segments, Time now) const;
   [[nodiscard]] EngineEstimate EstimateEngine(const Engine* engine, const Prompt& prompt,
                                               std::span<const SegmentLookup> segments,
                                               std::size_t cached_count, Time now) const;
   [[nodiscard]] double DecayedUses(const KnownSegment& segment, Time now) const;
   [[nodiscard]] const Engine* FindEngine(ServerId server) const;
+  [[nodiscard]] Engine* FindEngine(ServerId server);
+  /// Returns the engine, which is added if it is unknown.
+  Engine& EngineOf(ServerId server);
   [[nodiscard]] static std::int64_t RunningTokens(const Engine& engine) {
     return engine.local_kv_tokens + engine.peers_kv_tokens;
   }
   static void ApplyReport(Engine& engine, PeerState& state, const EngineReport& report, Time now);
-  [[nodiscard]] bool IsCached(const Engine& engine, std::uint64_t prefix_hash, Time now) const;
+  /// True if the engine still caches a segment that it used.
+  [[nodiscard]] bool IsCached(const Engine& engine, const SegmentUse& use, Time now) const;
   void UpdatePrefillRate(const RunningRequest& request, Time now);
-  void RecordSegmentUse(Engine& engine, std::uint64_t prefix_hash, Time now);
+  void RecordSegmentUse(const Engine& engine, std::uint64_t prefix_hash, Time now);
+  /// Removes segments that no engine caches any more.
+  void SweepSegments(Time now);
 
   EngineLoadOptions options_;
   double prefill_rate_ = options_.prefill_rate;
   RequestNumber last_request_number_ = 0;
-  absl::flat_hash_map<ServerId, Engine> engines_;
+  absl::flat_hash_map<ServerId, std::unique_ptr<Engine>> engines_;
+  /// Null for engines that are gone.
+  std::vector<const Engine*> engines_by_index_;
   /// Time of each peer's last report.
   absl::flat_hash_map<Incarnation, Time> last_report_times_;
+  /// By the hash of the prompt up to the end of the segment.
   absl::flat_hash_map<std::uint64_t, KnownSegment> known_segments_;
+  std::size_t sweep_size_;
   std::deque<SentSegment> sent_segments_;
 };
 
--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -175,19 +175,18 @@
 }
 
 double Dispatcher::EngineCost(const DispatchRequest& request, const Candidate& candidate,
-                              const EngineEstimate& estimate, double mean_queueing_delay) const {
+                              const EngineEstimate& estimate, const CostInputs& inputs) const {
   double cost = candidate.same_zone ? 0 : kCrossZoneCost;
   cost += ToSeconds(estimate.queueing_delay) + ToSeconds(estimate.prefill_time);
   cost += kRunningRequestCost * static_cast<double>(estimate.running);
   const double repeated_prefill_weight =
-      kRepeatedPrefillWeight + kRepeatedPrefillWeightPerSecond * mean_queueing_delay;
+      kRepeatedPrefillWeight + kRepeatedPrefillWeightPerSecond * inputs.mean_queueing_delay_s;
   cost += repeated_prefill_weight * estimate.cached_elsewhere_tokens_per_use / load_.prefill_rate();
   const double first_byte_time =
       ToSeconds(estimate.queueing_delay + estimate.prefill_time + kFirstByteOverhead);
   cost += kLatenessWeight *
           std::max(first_byte_time - kOnTimeFraction * ToSeconds(request.objective), 0.0);
-  const std::uint64_t rank =
-      CombineHashes(SharedPrefixHash(*request.prompt), candidate.server.value);
+  const std::uint64_t rank = CombineHashes(inputs.shared_prefix_hash, candidate.server.value);
   return cost + kHashAffinityCost * static_cast<double>(rank % 1000) / 1000;
 }
 
@@ -216,9 +215,10 @@
   std::ranges::transform(estimates, options.begin(), [](const EngineEstimate& estimate) {
     return Option{.estimate = estimate};
   });
-  const double mean_queueing_delay = MeanQueueingDelay(options);
+  const CostInputs inputs{.mean_queueing_delay_s = MeanQueueingDelay(options),
+                          .shared_prefix_hash = SharedPrefixHash(*request.prompt)};
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    options[i].cost = EngineCost(request, candidates[i], estimates[i], mean_queueing_delay);
+    options[i].cost = EngineCost(request, candidates[i], estimates[i], inputs);
   }
   return options;
 }
--- a/packages/policy/src/engine_load.cc
+++ b/packages/policy/src/engine_load.cc
@@ -22,8 +22,8 @@
 constexpr double kMaxRateSampleRatio = 1.6;
 /// Time for which a sent segment stays available to reports.
 constexpr Duration kSegmentReportPeriod = std::chrono::seconds(1);
-/// Number of segments of one engine above which expired ones are removed.
-constexpr std::size_t kSegmentSweepSize = 4096;
+/// Number of segments above which those that no engine caches any more are removed.
+constexpr std::size_t kSegmentSweepSize = 16384;
 /// Longest time between two reports of a peer for which all tokens sent in between count as queued.
 /// Reports are 80 to 130 ms apart in fleets of up to 22 gateways; during longer gaps, as after lost
 /// reports, engines have prefilled part of the tokens.
@@ -50,6 +50,9 @@
 
 }  // namespace
 
+EngineLoad::EngineLoad(const EngineLoadOptions& options)
+    : options_(options), sweep_size_(kSegmentSweepSize) {}
+
 Duration EngineLoad::PrefillTime(std::int64_t tokens) const {
   return duration_cast<Duration>(
       std::chrono::duration<double>(static_cast<double>(tokens) / prefill_rate_));
@@ -61,17 +64,12 @@
       std::max(engine.prefill_done_at, since) + PrefillTime(static_cast<std::int64_t>(tokens));
 }
 
-bool EngineLoad::IsCached(const Engine& engine, std::uint64_t prefix_hash, Time now) const {
-  const auto found = engine.segments.find(prefix_hash);
-  if (found == engine.segments.end()) {
-    return false;
-  }
+bool EngineLoad::IsCached(const Engine& engine, const SegmentUse& use, Time now) const {
   if (engine.kv_cache_tokens == 0) {
-    return now - found->second.used_at < options_.segment_lifetime;
+    return now - use.used_at < options_.segment_lifetime;
   }
   // Engines evict the least recently used segments first, to make space for tokens prefilled since.
-  const auto prefilled_since =
-      static_cast<double>(engine.total_prefill_tokens - found->second.end_position);
+  const auto prefilled_since = static_cast<double>(engine.total_prefill_tokens - use.end_position);
   const double available_tokens =
       static_cast<double>(engine.kv_cache_tokens) * kSegmentCacheFraction -
       static_cast<double>(RunningTokens(engine));
@@ -96,27 +94,53 @@
     if (found != known_segments_.end()) {
       lookup.known = now - found->second.last_used < options_.segment_lifetime;
       lookup.uses = DecayedUses(found->second, now);
+      lookup.segment = &found->second;
     }
     segments.push_back(lookup);
   }
   return segments;
 }
 
-std::size_t EngineLoad::CountCachedSegments(const Engine* engine,
-                                            std::span<const SegmentLookup> segments,
-                                            Time now) const {
-  if (engine == nullptr) {
-    return 0;
+std::vector<std::uint16_t> EngineLoad::CountCachedSegments(std::span<const SegmentLookup> segments,
+                                                           Time now) const {
+  std::vector<std::uint16_t> counts(engines_by_index_.size());
+  for (std::size_t i = 0; i < segments.size() && segments[i].segment != nullptr; ++i) {
+    for (const SegmentUse& use : segments[i].segment->engines) {
+      const Engine* engine = engines_by_index_[use.engine];
+      if (counts[use.engine] == i && engine != nullptr && IsCached(*engine, use, now)) {
+        counts[use.engine] = static_cast<std::uint16_t>(i + 1);
+      }
+    }
   }
-  const auto end = std::ranges::find_if_not(segments, [&](const SegmentLookup& segment) {
-    return IsCached(*engine, segment.prefix_hash, now);
-  });
-  return static_cast<std::size_t>(end - segments.begin());
+  return counts;
 }
 
 const EngineLoad::Engine* EngineLoad::FindEngine(ServerId server) const {
   const auto found = engines_.find(server);
-  return found == engines_.end() ? nullptr : &found->second;
+  return found == engines_.end() ? nullptr : found->second.get();
+}
+
+EngineLoad::Engine* EngineLoad::FindEngine(ServerId server) {
+  const auto found = engines_.find(server);
+  return found == engines_.end() ? nullptr : found->second.get();
+}
+
+EngineLoad::Engine& EngineLoad::EngineOf(ServerId server) {
+  auto& engine = engines_[server];
+  if (engine == nullptr) {
+    engine = std::make_unique<Engine>();
+    engine->index = static_cast<EngineIndex>(engines_by_index_.size());
+    engines_by_index_.push_back(engine.get());
+  }
+  return *engine;
+}
+
+void EngineLoad::Remove(ServerId server) {
+  const auto found = engines_.find(server);
+  if (found != engines_.end()) {
+    engines_by_index_[found->second->index] = nullptr;
+    engines_.erase(found);
+  }
 }
 
 EngineEstimate EngineLoad::EstimateEngine(const Engine* engine, const Prompt& prompt,
@@ -164,39 +188,55 @@
 std::vector<EngineEstimate> EngineLoad::EstimateAll(std::span<const ServerId> servers,
                                                     const Prompt& prompt, Time now) const {
   std::vector<SegmentLookup> segments = LookUpSegments(prompt, now);
-  std::vector<std::size_t> cached_counts;
-  cached_counts.reserve(servers.size());
-  for (const ServerId server : servers) {
-    cached_counts.push_back(CountCachedSegments(FindEngine(server), segments, now));
-    std::ranges::for_each(segments.begin(),
-                          segments.begin() + static_cast<std::ptrdiff_t>(cached_counts.back()),
+  const std::vector<std::uint16_t> counts_by_index = CountCachedSegments(segments, now);
+  std::vector<const Engine*> engines(servers.size());
+  std::ranges::transform(servers, engines.begin(),
+                         [this](ServerId server) { return FindEngine(server); });
+  const auto cached_count = [&](const Engine* engine) {
+    return engine == nullptr ? std::size_t{0} : std::size_t{counts_by_index[engine->index]};
+  };
+  for (const Engine* engine : engines) {
+    std::ranges::for_each(std::span(segments).first(cached_count(engine)),
                           [](SegmentLookup& segment) { ++segment.caching_engines; });
   }
-  std::vector<EngineEstimate> estimates;
-  estimates.reserve(servers.size());
-  for (std::size_t i = 0; i < servers.size(); ++i) {
-    estimates.push_back(
-        EstimateEngine(FindEngine(servers[i]), prompt, segments, cached_counts[i], now));
-  }
+  std::vector<EngineEstimate> estimates(servers.size());
+  std::ranges::transform(engines, estimates.begin(), [&](const Engine* engine) {
+    return EstimateEngine(engine, prompt, segments, cached_count(engine), now);
+  });
   return estimates;
 }
 
-void EngineLoad::RecordSegmentUse(Engine& engine, std::uint64_t prefix_hash, Time now) {
-  engine.segments[prefix_hash] = {.used_at = now, .end_position = engine.total_prefill_tokens};
+void EngineLoad::RecordSegmentUse(const Engine& engine, std::uint64_t prefix_hash, Time now) {
   KnownSegment& known = known_segments_[prefix_hash];
   known.uses = DecayedUses(known, now) + 1;
   known.last_used = now;
-  const auto outdated = [&](Time used) { return now - used >= options_.segment_lifetime; };
-  if (engine.segments.size() > kSegmentSweepSize) {
-    EraseIf(engine.segments, [&](const SegmentUse& use) { return outdated(use.used_at); });
+  const SegmentUse use{
+      .engine = engine.index, .used_at = now, .end_position = engine.total_prefill_tokens};
+  const auto found = std::ranges::find(known.engines, engine.index, &SegmentUse::engine);
+  if (found == known.engines.end()) {
+    known.engines.push_back(use);
+  } else {
+    *found = use;
   }
-  if (known_segments_.size() > 4 * kSegmentSweepSize) {
-    EraseIf(known_segments_, [&](const KnownSegment& use) { return outdated(use.last_used); });
+  if (known_segments_.size() > sweep_size_) {
+    SweepSegments(now);
   }
 }
 
+void EngineLoad::SweepSegments(Time now) {
+  EraseIf(known_segments_, [&](KnownSegment& segment) {
+    std::erase_if(segment.engines, [&](const SegmentUse& use) {
+      const Engine* engine = engines_by_index_[use.engine];
+      return engine == nullptr || !IsCached(*engine, use, now);
+    });
+    return segment.engines.empty() && now - segment.last_used >= options_.segment_lifetime;
+  });
+  // Cached segments remain, so that the next sweep must not follow at once.
+  sweep_size_ = std::max(kSegmentSweepSize, 2 * known_segments_.size());
+}
+
 EngineLoad::RequestNumber EngineLoad::RecordSent(ServerId server, const Prompt& prompt, Time now) {
-  Engine& engine = engines_[server];
+  Engine& engine = EngineOf(server);
   const std::int64_t uncached_tokens = Estimate(server, prompt, now).uncached_tokens;
   const Duration queueing_delay = std::max(engine.prefill_done_at - now, Duration{0});
   RunningRequest request{
@@ -238,11 +278,11 @@
 }
 
 void EngineLoad::RecordFirstByte(ServerId server, RequestNumber request, Time now) {
-  const auto found = engines_.find(server);
-  if (found == engines_.end()) {
+  Engine* found = FindEngine(server);
+  if (found == nullptr) {
     return;
   }
-  Engine& engine = found->second;
+  Engine& engine = *found;
   const auto found_request = std::ranges::find(engine.running, request, &RunningRequest::number);
   if (found_request == engine.running.end() || found_request->first_byte_received) {
     return;
@@ -255,11 +295,11 @@
 }
 
 void EngineLoad::RecordEnd(ServerId server, RequestNumber request, Time now) {
-  const auto found = engines_.find(server);
-  if (found == engines_.end()) {
+  Engine* found = FindEngine(server);
+  if (found == nullptr) {
     return;
   }
-  Engine& engine = found->second;
+  Engine& engine = *found;
   const auto found_request = std::ranges::find(engine.running, request, &RunningRequest::number);
   if (found_request == engine.running.end()) {
     return;
@@ -276,11 +316,11 @@
   std::vector<EngineReport> reports;
   reports.reserve(engines_.size());
   for (const auto& [server, engine] : engines_) {
-    if (engine.local_prefill_tokens > 0 || !engine.running.empty()) {
+    if (engine->local_prefill_tokens > 0 || !engine->running.empty()) {
       reports.push_back({.server = server,
-                         .prefill_tokens = engine.local_prefill_tokens,
-                         .running = static_cast<std::int64_t>(engine.running.size()),
-                         .running_tokens = engine.local_kv_tokens});
+                         .prefill_tokens = engine->local_prefill_tokens,
+                         .running = static_cast<std::int64_t>(engine->running.size()),
+                         .running_tokens = engine->local_kv_tokens});
     }
   }
   return reports;
@@ -308,12 +348,12 @@
   EraseIf(last_report_times_,
           [&](Time last_received) { return now - last_received > kPeerStateLifetime; });
   for (auto& [server, engine] : engines_) {
-    for (auto& [peer, state] : engine.peers) {
+    for (auto& [peer, state] : engine->peers) {
       if (now - state.last_received > options_.peer_timeout && state.last_report.running != 0) {
         EngineReport idle = state.last_report;
         idle.running = 0;
         idle.running_tokens = 0;
-        ApplyReport(engine, state, idle, state.last_received);
+        ApplyReport(*engine, state, idle, state.last_received);
       }
     }
   }
@@ -325,7 +365,7 @@
   const Time sent_since = std::min(now, last_report_time->second + kMaxReportInterval);
   last_report_time->second = now;
   for (const EngineReport& report : engines) {
-    Engine& engine = engines_[report.server];
+    Engine& engine = EngineOf(report.server);
     const auto [slot, added] = engine.peers.try_emplace(peer);
     PeerState& state = slot->second;
     // The first report of a peer includes tokens from before, which engines have already prefilled.
@@ -335,7 +375,7 @@
     ApplyReport(engine, state, report, now);
   }
   for (const SegmentReport& segment : segments) {
-    RecordSegmentUse(engines_[segment.server], segment.prefix_hash, now);
+    RecordSegmentUse(EngineOf(segment.server), segment.prefix_hash, now);
   }
 }
 
--- /dev/null
+++ b/tests/end_to_end/backend_faults_test.cc
@@ -0,0 +1,367 @@
+// Faults of backend servers on the wire, of the host and of a planned stop, against a gateway
+// process. docs/GUARANTEES.md lists them.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "platform_world.h"
+#include "raw_backend.h"
+
+namespace lagoonwind {
+namespace {
+
+namespace asio = http::asio;
+using std::chrono::milliseconds;
+using testing::Caller;
+using testing::PlatformWorld;
+using testing::RawBackend;
+using testing::RawConnection;
+using testing::ResponseHeadOf;
+using testing::ResponseOf;
+using testing::ServerMode;
+
+const http::Field kApiKeyField{.name = "Authorization", .value = "Bearer key1"};
+const std::vector<http::Field> kPromptFields{kApiKeyField,
+                                             {.name = "X-Token-Usage", .value = "300,20"},
+                                             {.name = "X-Prompt-Prefix", .value = "aa:200,bb:100"}};
+constexpr const char* kExpectedStream =
+    "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n"
+    "id: 4\ndata: event 4\n\n";
+constexpr std::size_t kMebibyte = 1UL << 20U;
+/// Bytes that a backend server may send before the gateway must have closed the connection. Most of
+/// them are in socket buffers.
+constexpr std::size_t kMaxUselessBytes = 64 * kMebibyte;
+/// Memory that a gateway may use while backend servers send bytes without end, in KiB.
+constexpr long kMaxMemoryKibibytes = 64L << 10U;
+
+/// A store and one gateway; the backend server of one service follows a script.
+struct ScriptedFixture {
+  ScriptedFixture(const std::string& service, RawBackend::Script script)
+      : backend(std::move(script)) {
+    world.Configure(1);
+    world.Register({.name = "raw", .service = service, .address = backend.address()});
+    gateway = &world.StartGateway(1);
+  }
+
+  RawBackend backend;
+  PlatformWorld world;
+  testing::Process* gateway = nullptr;
+};
+
+std::string EventOf(int id) {
+  const std::string number = std::to_string(id);
+  return "id: " + number + "\ndata: event " + number + "\n\n";
+}
+
+std::string ChunkOf(const std::string& data) {
+  std::ostringstream chunk;
+  chunk << std::hex << data.size() << "\r\n" << data << "\r\n";
+  return chunk.str();
+}
+
+/// Largest memory that the process has used, in KiB.
+long PeakMemory(pid_t pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  const std::string field = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(field)) {
+      return std::stol(line.substr(field.size()));
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+
+TEST_CASE("a late second copy of a response never reaches the next caller") {
+  ScriptedFixture fixture("desk", [](RawConnection& connection) -> asio::awaitable<void> {
+    std::string previous;
+    for (;;) {
+      const std::string id = co_await connection.ReadRequest();
+      if (id.empty()) {
+        co_return;
+      }
+      std::string response = ResponseOf(id, "answer to " + id);
+      (void)co_await connection.Write(previous + response);
+      previous = std::move(response);
+    }
+  });
+  Caller caller(PlatformWorld::CallerAddress(1));
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const auto response = caller.Send("GET", "/look/1", id);
+    CHECK(response.status == 200);
+    CHECK(response.body == "answer to " + id);
+  }
+}
+
+TEST_CASE("a failure without a request id on a reused connection is not taken for the response") {
+  std::atomic<int> requests = 0;
+  ScriptedFixture fixture("desk", [&](RawConnection& connection) -> asio::awaitable<void> {
+    std::string late_copy;
+    for (;;) {
+      const std::string id = co_await connection.ReadRequest();
+      if (id.empty()) {
+        co_return;
+      }
+      ++requests;
+      std::string response = late_copy + ResponseOf(id, "answer to " + id);
+      (void)co_await connection.Write(std::move(response));
+      late_copy = "HTTP/1.1 503 Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+  });
+  Caller caller(PlatformWorld::CallerAddress(1));
+  CHECK(caller.Send("POST", "/book/1", "b1", {kApiKeyField}, "x").status == 200);
+  // The backend server has run this one, so that a refusal as not run would be untrue.
+  CHECK(caller.Send("POST", "/book/1", "b2", {kApiKeyField}, "x").status == 502);
+  CHECK(requests == 2);
+}
+
+TEST_CASE("a response that breaks off never looks complete, whatever its framing") {
+  const std::string half = "id: 1\ndata: event 1\n\nid: 2\nda";
+  const std::vector<std::pair<std::string, bool>> endings{
+      {ResponseHeadOf("ID", "Content-Length: 500") + half, false},
+      {ResponseHeadOf("ID", "Transfer-Encoding: chunked") + ChunkOf(half), false},
+      {ResponseHeadOf("ID", "Connection: close") + half, true},
+      {ResponseHeadOf("ID", "Connection: close") + half, false}};
+  std::atomic<std::size_t> ending = 0;
+  ScriptedFixture fixture("model", [&](RawConnection& connection) -> asio::awaitable<void> {
+    const std::string id = co_await connection.ReadRequest();
+    const auto& [text, reset] = endings[ending];
+    std::string response = text;
+    for (std::size_t at = response.find("ID"); at != std::string::npos; at = response.find("ID")) {
+      response.replace(at, 2, id);
+    }
+    (void)co_await connection.Write(std::move(response));
+    co_await connection.Wait(milliseconds(50));
+    if (reset) {
+      connection.Reset();
+    }
+  });
+  for (ending = 0; ending < endings.size(); ++ending) {
+    CAPTURE(endings[ending].first);
+    CAPTURE(endings[ending].second);
+    const std::string id = "c" + std::to_string(ending);
+    const auto response =
+        Caller(PlatformWorld::CallerAddress(1)).Send("POST", "/chat/1", id, kPromptFields, "body");
+    CHECK(!(response.status == 200 && response.complete));
+  }
+}
+
+TEST_CASE("bytes without end are cut off, with bounded memory and a truthful status") {
+  const std::string filler(64UL << 10U, 'x');
+  std::string prefix;
+  bool chunked = false;
+  std::atomic<bool> closed_by_gateway = false;
+  ScriptedFixture fixture("desk", [&](RawConnection& connection) -> asio::awaitable<void> {
+    const std::string id = co_await connection.ReadRequest();
+    std::string head = prefix.starts_with("HTTP") ? prefix : ResponseHeadOf(id, prefix);
+    bool open = !id.empty() && co_await connection.Write(std::move(head));
+    for (std::size_t sent = 0; open && sent < kMaxUselessBytes; sent += filler.size()) {
+      std::string part = chunked ? ChunkOf(filler) : filler;
+      open = co_await connection.Write(std::move(part));
+    }
+    closed_by_gateway = closed_by_gateway || !open;
+  });
+  const std::vector<std::pair<std::string, bool>> cases{
+      {"HTTP/1.1 ", false},                                        // status line
+      {"HTTP/1.1 200 OK\r\nX-Long: ", false},                      // header field
+      {"Content-Length: 9999999999", false},                       // body of a stated length
+      {"Transfer-Encoding: chunked", true},                        // chunks
+      {"Transfer-Encoding: chunked\r\n\r\n5;extension=", false},   // chunk extension
+      {"Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ", false},  // trailer
+      {"Connection: close", false}};  // body that ends with the connection
+  for (const auto& [case_prefix, case_chunked] : cases) {
+    CAPTURE(case_prefix);
+    prefix = case_prefix;
+    chunked = case_chunked;
+    closed_by_gateway = false;
+    const auto response = Caller(PlatformWorld::CallerAddress(1))
+                              .Send("POST", "/book/1", "d", {kApiKeyField}, "body");
+    CHECK((response.status == 502 || response.status == 504));
+    CHECK(PlatformWorld::Await([&] { return closed_by_gateway.load(); }));
+  }
+  CHECK(PeakMemory(fixture.gateway->pid()) < kMaxMemoryKibibytes);
+}
+
+TEST_CASE("a stream event without end is cut off with bounded memory") {
+  std::atomic<bool> closed_by_gateway = false;
+  ScriptedFixture fixture("model", [&](RawConnection& connection) -> asio::awaitable<void> {
+    const std::string id = co_await connection.ReadRequest();
+    const std::string filler(64UL << 10U, 'x');
+    bool open = !id.empty() && co_await connection.Write(ResponseHeadOf(id, "Connection: close"));
+    for (std::size_t sent = 0; open && sent < kMaxUselessBytes; sent += filler.size()) {
+      open = co_await connection.Write(filler);
+    }
+    closed_by_gateway = !open;
+  });
+  const auto response =
+      Caller(PlatformWorld::CallerAddress(1)).Send("POST", "/chat/1", "e1", kPromptFields, "body");
+  CHECK(!(response.status == 200 && response.complete));
+  CHECK(PlatformWorld::Await([&] { return closed_by_gateway.load(); }));
+  CHECK(PeakMemory(fixture.gateway->pid()) < kMaxMemoryKibibytes);
+}
+
+TEST_CASE("a caller's request without end is cut off with bounded memory") {
+  PlatformWorld world;
+  world.Configure(1);
+  world.AddServer("d-1", "desk");
+  testing::Process& gateway = world.StartGateway(1);
+  const std::string start =
+      "POST /book/1 HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: z\r\nAuthorization: Bearer key1\r\n";
+  for (const char* part : {"", "Transfer-Encoding: chunked\r\n\r\n5;extension=",
+                           "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: "}) {
+    CAPTURE(part);
+    Caller caller(PlatformWorld::CallerAddress(1));
+    CHECK(caller.SendUntilClosed(start + part, kMaxUselessBytes) < kMaxUselessBytes);
+  }
+  CHECK(PeakMemory(gateway.pid()) < kMaxMemoryKibibytes);
+  CHECK(Caller(PlatformWorld::CallerAddress(1)).Send("GET", "/look/1", "f2").status == 200);
+}
+
+TEST_CASE("a slow stream that makes progress is not cut off or moved") {
+  std::atomic<int> executions = 0;
+  ScriptedFixture fixture("model", [&](RawConnection& connection) -> asio::awaitable<void> {
+    const std::string id = co_await connection.ReadRequest();
+    ++executions;
+    (void)co_await connection.Write(ResponseHeadOf(id, "Transfer-Encoding: chunked"));
+    for (int event = 1; event <= 4; ++event) {
+      co_await connection.Wait(milliseconds(700));
+      (void)co_await connection.Write(ChunkOf(EventOf(event)));
+    }
+    (void)co_await connection.Write("0\r\n\r\n");
+    (void)co_await connection.ReadRequest();
+  });
+  Caller caller(PlatformWorld::CallerAddress(1));
+  const auto response = caller.Send("POST", "/plan/1", "g1", kPromptFields, "body");
+  CHECK(response.complete);
+  CHECK(response.body == kExpectedStream);
+  CHECK(executions == 1);
+}
+
+TEST_CASE("a stalled stream that sends a byte now and then is resumed elsewhere, or ends") {
+  ScriptedFixture fixture("model", [](RawConnection& connection) -> asio::awaitable<void> {
+    const std::string id = co_await connection.ReadRequest();
+    (void)co_await connection.Write(ResponseHeadOf(id, "Transfer-Encoding: chunked") +
+                                    ChunkOf(EventOf(1)));
+    bool open = true;
+    while (open) {
+      co_await connection.Wait(milliseconds(100));
+      open = co_await connection.Write(ChunkOf("d"));
+    }
+  });
+  Caller caller(PlatformWorld::CallerAddress(1));
+  CHECK(!caller.Send("POST", "/chat/1", "h1", kPromptFields, "body").complete);
+  fixture.world.AddServer("m-1", "model");
+  REQUIRE(PlatformWorld::Await([&] {
+    Caller other(PlatformWorld::CallerAddress(1));
+    auto fields = kPromptFields;
+    fields[2].value = "cc:200,dd:100";
+    const auto response = other.Send("POST", "/plan/1", "h2", fields, "body");
+    return response.complete && response.body == kExpectedStream;
+  }));
+}
+
+TEST_CASE("running work goes on while its backend server is missing from the store") {
+  std::atomic<int> executions = 0;
+  std::atomic<bool> goes_on = false;
+  ScriptedFixture fixture("model", [&](RawConnection& connection) -> asio::awaitable<void> {
+    const std::string id = co_await connection.ReadRequest();
+    ++executions;
+    (void)co_await connection.Write(ResponseHeadOf(id, "Transfer-Encoding: chunked") +
+                                    ChunkOf(EventOf(1)));
+    while (!goes_on) {
+      co_await connection.Wait(milliseconds(10));
+    }
+    (void)co_await connection.Write(ChunkOf(EventOf(2) + EventOf(3) + EventOf(4)) + "0\r\n\r\n");
+    (void)co_await connection.ReadRequest();
+  });
+  Caller caller(PlatformWorld::CallerAddress(1));
+  Caller::Response response;
+  std::jthread request(
+      [&] { response = caller.Send("POST", "/plan/1", "i1", kPromptFields, "body"); });
+  REQUIRE(PlatformWorld::Await([&] { return executions == 1; }));
+  fixture.world.AddServer("m-1", "model");
+  fixture.world.Delete("keyed.servers", "raw");
+  REQUIRE(PlatformWorld::Await([&] {
+    std::ostringstream log;
+    log << std::ifstream(fixture.world.LogPath(1)).rdbuf();
+    return log.str().find("server_gone") != std::string::npos;
+  }));
+  goes_on = true;
+  request.join();
+  CHECK(response.complete);
+  CHECK(response.body == kExpectedStream);
+  CHECK(executions == 1);
+  CHECK(fixture.world.ReceivedRequests().empty());
+}
+
+TEST_CASE("running work is not started again elsewhere because its gateway was suspended") {
+  std::atomic<int> executions = 0;
+  ScriptedFixture fixture("model", [&](RawConnection& connection) -> asio::awaitable<void> {
+    const std::string id = co_await connection.ReadRequest();
+    ++executions;
+    (void)co_await connection.Write(ResponseHeadOf(id, "Transfer-Encoding: chunked"));
+    for (int event = 1; event <= 4; ++event) {
+      (void)co_await connection.Write(ChunkOf(EventOf(event)));
+      co_await connection.Wait(milliseconds(500));
+    }
+    (void)co_await connection.Write("0\r\n\r\n");
+    (void)co_await connection.ReadRequest();
+  });
+  fixture.world.AddServer("m-1", "model");
+  Caller caller(PlatformWorld::CallerAddress(1));
+  Caller::Response response;
+  std::jthread request(
+      [&] { response = caller.Send("POST", "/plan/1", "j1", kPromptFields, "body"); });
+  const bool started = PlatformWorld::Await(
+      [&] { return executions == 1 || !fixture.world.ReceivedRequests().empty(); });
+  REQUIRE(started);
+  if (executions == 1) {
+    fixture.gateway->Signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(2500));
+    fixture.gateway->Signal(SIGCONT);
+  }
+  request.join();
+  CHECK(response.complete);
+  CHECK(response.body == kExpectedStream);
+  CHECK(executions + static_cast<int>(fixture.world.ReceivedRequests().size()) == 1);
+}
+
+TEST_CASE("in a planned stop under load, every request that was accepted gets a response") {
+  PlatformWorld world;
+  world.Configure(1);
+  world.AddServer("d-1", "desk");
+  world.AddServer("d-2", "desk");
+  world.SetProcessingTime(milliseconds(20));
+  testing::Process& gateway = world.StartGateway(1);
+  std::atomic<bool> ready = true;
+  std::atomic<int> answered = 0;
+  std::atomic<int> cut_off = 0;
+  std::vector<std::jthread> callers;
+  for (int caller_number = 0; caller_number < 8; ++caller_number) {
+    callers.emplace_back([&, caller_number] {
+      // As the load balancer does, opens connections until the readiness check fails.
+      for (int i = 0; ready; ++i) {
+        Caller caller(PlatformWorld::CallerAddress(1));
+        const std::string id = "k" + std::to_string(caller_number) + "-" + std::to_string(i);
+        const auto response = caller.Send("GET", "/look/1", id);
+        ++(response.complete ? answered : cut_off);
+      }
+    });
+  }
+  REQUIRE(PlatformWorld::Await([&] { return answered > 50; }));
+  gateway.Signal(SIGTERM);
+  ready = !PlatformWorld::Await([&] { return PlatformWorld::Readiness(1) == 503; });
+  callers.clear();
+  CHECK(cut_off == 0);
+  CHECK(gateway.Wait() == 0);
+}
+
+}  // namespace lagoonwind
--- a/tests/end_to_end/gateway_test.cc
+++ b/tests/end_to_end/gateway_test.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -354,4 +355,36 @@
   CHECK(caller.Send("POST", "/plan/1", "g3", kPromptFields).status == 200);
 }
 
+TEST_CASE("at its descriptor limit, a gateway closes idle connections and serves new callers") {
+  PlatformWorld world;
+  world.Configure(1);
+  world.AddServer("d-1", "desk");
+  // Leaves room for 11 callers.
+  world.SetMaxDescriptors(320);
+  world.StartGateway(1);
+  std::vector<std::unique_ptr<Caller>> idle_callers;
+  for (int i = 0; i < 30; ++i) {
+    idle_callers.push_back(std::make_unique<Caller>(PlatformWorld::CallerAddress(1)));
+  }
+  Caller caller(PlatformWorld::CallerAddress(1));
+  CHECK(caller.Send("GET", "/look/1", "p1").status == 200);
+  CHECK(PlatformWorld::Await([&] { return idle_callers.front()->IsClosed(); }));
+}
+
+TEST_CASE("a gateway that runs out of descriptors serves callers once some are free again") {
+  SingleGatewayFixture fixture;
+  Caller caller(PlatformWorld::CallerAddress(1));
+  CHECK(caller.Send("GET", "/look/1", "q1").status == 200);
+  const rlimit no_more_descriptors{.rlim_cur = 8, .rlim_max = 4096};
+  rlimit previous{};
+  REQUIRE(prlimit(fixture.gateway->pid(), RLIMIT_NOFILE, &no_more_descriptors, &previous) == 0);
+  const Caller waiting(PlatformWorld::CallerAddress(1));
+  const auto log_path = fixture.world.LogPath(1);
+  REQUIRE(PlatformWorld::Await(
+      [&] { return ReadFile(log_path).find("connection_not_taken") != std::string::npos; }));
+  REQUIRE(prlimit(fixture.gateway->pid(), RLIMIT_NOFILE, &previous, nullptr) == 0);
+  Caller next(PlatformWorld::CallerAddress(1));
+  CHECK(next.Send("GET", "/look/1", "q2").status == 200);
+}
+
 }  // namespace lagoonwind
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -345,6 +345,10 @@
   return absl::StrCat(IpOf(number), ":", kMetricsPort);
 }
 
+std::string PlatformWorld::PeerAddress(int number) {
+  return absl::StrCat(IpOf(number), ":", kPeerPort);
+}
+
 unsigned PlatformWorld::Readiness(int number) {
   asio::io_context io;
   unsigned status = 0;
@@ -378,7 +382,7 @@
       {"listen", {{"front", CallerAddress(number)}, {"ready", ReadinessAddress(number)}}},
       {"port_range", {kPeerPort, kPeerPort + 10}},
       {"seeds", {absl::StrCat(IpOf(1), ":1"), absl::StrCat(IpOf(2), ":1")}},
-      {"limits", {{"ram_mb", 110}, {"cpu_share", 1}}},
+      {"limits", {{"ram_mb", 110}, {"cpu_share", 1}, {"max_fds", max_descriptors_}}},
       {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 54}}},
       {"platform", {{"addr", store_address_}}}};
   const auto path = directory_ / absl::StrCat("node-", number, ".json");
@@ -440,4 +444,23 @@
   return !buffer_.empty() || socket_.available(ignored) > 0;
 }
 
+std::size_t Caller::SendUntilClosed(const std::string& start, std::size_t max_bytes) {
+  const std::string filler(64UL << 10U, 'x');
+  boost::system::error_code error;
+  std::size_t sent = asio::write(socket_, asio::buffer(start), error);
+  while (!error && sent < max_bytes) {
+    sent += asio::write(socket_, asio::buffer(filler), error);
+  }
+  return sent;
+}
+
+bool Caller::IsClosed() {
+  boost::system::error_code error;
+  char byte = 0;
+  socket_.non_blocking(true);
+  socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  socket_.non_blocking(false);
+  return error && error != asio::error::would_block;
+}
+
 }  // namespace lagoonwind::testing
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -46,7 +46,8 @@
 };
 
 /// Stand-ins for the platform's store and backend servers, and gateways as processes, each on its
-/// own loopback address. Thread safe, except for StartGateway(), SetStoreAddress() and KeepFiles().
+/// own loopback address. Thread safe, except for StartGateway(), SetStoreAddress(),
+/// SetMaxDescriptors() and KeepFiles().
 class PlatformWorld {
  public:
   PlatformWorld();
@@ -74,6 +75,8 @@
   [[nodiscard]] std::string store_address() const;
   /// Sets the store address in the settings of gateways started afterwards.
   void SetStoreAddress(const std::string& address) { store_address_ = address; }
+  /// Sets the descriptor limit in the settings of gateways started afterwards.
+  void SetMaxDescriptors(int descriptors) { max_descriptors_ = descriptors; }
   /// Makes the store refuse all calls, or accept them again.
   void SetStoreDown(bool down);
   /// Number of calls that the store has refused.
@@ -86,6 +89,8 @@
   [[nodiscard]] static std::string CallerAddress(int number);
   [[nodiscard]] static std::string ReadinessAddress(int number);
   [[nodiscard]] static std::string MetricsAddress(int number);
+  /// `IP:PORT` of a gateway for reports of its peers.
+  [[nodiscard]] static std::string PeerAddress(int number);
   /// HTTP status of the readiness check, 0 if there is no response.
   static unsigned Readiness(int number);
   /// Polls until `condition` holds. \return False if it did not hold within 1500 polls, 10 ms
@@ -127,6 +132,7 @@
   std::vector<ReceivedRequest> received_;
   bool store_down_ = false;
   std::string store_address_;
+  int max_descriptors_ = 4096;
   std::chrono::milliseconds processing_time_{0};
   bool keeps_files_ = false;
   int refused_store_calls_ = 0;
@@ -153,8 +159,13 @@
                 const std::vector<http::Field>& fields = {}, const std::string& body = "");
   /// Sends unmodified bytes and reads one response.
   Response SendRaw(const std::string& bytes);
+  /// Sends `start` and then filler bytes until the gateway closes the connection.
+  /// \return Number of bytes sent, at most `max_bytes`.
+  std::size_t SendUntilClosed(const std::string& start, std::size_t max_bytes);
   /// True if bytes beyond the last response have been received.
   bool HasUnreadBytes();
+  /// True if the gateway has closed the connection and all its bytes were read.
+  bool IsClosed();
 
  private:
   http::asio::io_context io_;
--- a/tests/unit/gateway_parts_test.cc
+++ b/tests/unit/gateway_parts_test.cc
@@ -1,9 +1,14 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <string>
 
+#include "backend_pool.h"
+#include "clock.h"
 #include "crash_detector.h"
 #include "event_splitter.h"
 #include "fleet_state.h"
@@ -215,4 +220,50 @@
   CHECK(suspects.IsQuarantined(digest, At(4001)));
 }
 
+TEST_CASE("a log value is valid JSON, whatever bytes a text holds") {
+  const auto parsed = [](const LogValue& value) {
+    std::string text;
+    value.AppendTo(text);
+    return nlohmann::json::parse(text);
+  };
+  CHECK(parsed("plain") == "plain");
+  CHECK(parsed(std::string("quote\" and\nline")) == "quote\" and\nline");
+  CHECK(parsed("\xc3\xa9") == "\xc3\xa9");
+  CHECK(parsed("cut off \xc3") == "cut off \xef\xbf\xbd");
+  CHECK(parsed(-5) == -5);
+  CHECK(parsed(std::uint64_t{1} << 63U) == std::uint64_t{1} << 63U);
+  CHECK(parsed(true) == true);
+  CHECK(parsed(0.25) == 0.25);
+  CHECK(parsed(std::numeric_limits<double>::infinity()).is_null());
+  CHECK(parsed(std::vector<std::string>{"a", "b"}) == nlohmann::json{"a", "b"});
+}
+
+TEST_CASE("idle connections are closed when they expire, and beyond the limit of their server") {
+  constexpr ServerId kServer{1};
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  const auto port = acceptor.local_endpoint().port();
+  BackendPool pool(io);
+  std::vector<BackendPool::Connection> connections;
+  const auto open = [&]() -> asio::awaitable<void> {
+    std::string address = "127.0.0.1:" + std::to_string(port);
+    auto connection = co_await pool.Open(std::move(address));
+    connections.push_back(*std::move(connection));
+  };
+  for (int i = 0; i < 3; ++i) {
+    asio::co_spawn(io, open(), asio::detached);
+  }
+  io.run();
+  REQUIRE(connections.size() == 3);
+  for (auto& connection : connections) {
+    pool.Release(kServer, std::move(connection), seconds(10), 2);
+  }
+  CHECK(pool.idle_count() == 2);
+  pool.CloseExpired(Now());
+  CHECK(pool.idle_count() == 2);
+  pool.CloseExpired(Now() + seconds(10));
+  CHECK(pool.idle_count() == 0);
+  CHECK(pool.Acquire(kServer) == nullptr);
+}
+
 }  // namespace lagoonwind::gateway
--- a/tools/gateway_benchmark.cc
+++ b/tools/gateway_benchmark.cc
@@ -1,17 +1,32 @@
-// Measures the CPU time that a gateway uses per request, for plain requests and for streamed
-// responses.
+// Measures the CPU time that a gateway uses for plain requests, streamed responses and the reports
+// of its peers.
 #include <sys/types.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <string>
+#include <thread>
 
+#include "lagoonwind/gateway_report.h"
 #include "platform_world.h"
 
 namespace lagoonwind {
 namespace {
 
-constexpr int kRequests = 300;
+using Udp = http::asio::ip::udp;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kRequests = 600;
+constexpr int kEngines = 180;
+constexpr int kPeers = 102;
+/// Number of the first simulated peer; determines its address.
+constexpr int kFirstPeer = 10;
+constexpr auto kIdleTime = std::chrono::seconds(3);
+/// Content of a report under load.
+constexpr int kReportEngines = 12;
+constexpr int kReportSegments = 40;
 
 /// CPU time used so far by the process `pid`, in microseconds.
 double ProcessorTime(pid_t pid) {
@@ -37,11 +52,69 @@
   return (ProcessorTime(gateway.pid()) - before) / kRequests;
 }
 
+/// Gateways that exist only as senders of reports.
+class SimulatedPeers {
+ public:
+  SimulatedPeers() {
+    for (int i = 0; i < kPeers; ++i) {
+      const auto own = *http::ParseEndpoint(testing::PlatformWorld::PeerAddress(kFirstPeer + i));
+      sockets_.emplace_back(io_, Udp::endpoint(own.address(), own.port()));
+    }
+  }
+
+  /// Sends the next report of each peer to the gateway.
+  void SendReports(int engines, int segments) {
+    const auto gateway = *http::ParseEndpoint(testing::PlatformWorld::PeerAddress(1));
+    for (std::size_t peer = 0; peer < sockets_.size(); ++peer) {
+      wire::GatewayReport report{.sender = {peer + 1}};
+      for (int i = 0; i < engines; ++i) {
+        tokens_ += 1000;
+        report.engines.push_back(
+            {.server = {random_() % kEngines + 1}, .prefill_tokens = tokens_, .running = 3});
+      }
+      for (int i = 0; i < segments; ++i) {
+        report.segments.push_back({.server = {random_() % kEngines + 1}, .prefix_hash = random_()});
+      }
+      sockets_[peer].send_to(http::asio::buffer(wire::EncodeGatewayReport(report)),
+                             Udp::endpoint(gateway.address(), gateway.port()));
+    }
+  }
+
+ private:
+  http::asio::io_context io_;
+  std::vector<Udp::socket> sockets_;
+  std::mt19937_64 random_;
+  std::uint64_t tokens_ = 0;
+};
+
+/// CPU time in microseconds per received report.
+double MeasureReports(testing::Process& gateway, SimulatedPeers& peers) {
+  constexpr int kRounds = 20;
+  const double before = ProcessorTime(gateway.pid());
+  for (int round = 0; round < kRounds; ++round) {
+    peers.SendReports(kReportEngines, kReportSegments);
+    std::this_thread::sleep_for(std::chrono::milliseconds(40));
+  }
+  return (ProcessorTime(gateway.pid()) - before) / (kRounds * kPeers);
+}
+
+/// Fraction of a core that the gateway uses without requests while its peers send empty reports.
+double MeasureIdle(testing::Process& gateway, SimulatedPeers& peers) {
+  const double before = ProcessorTime(gateway.pid());
+  const auto start = Clock::now();
+  while (Clock::now() - start < kIdleTime) {
+    peers.SendReports(0, 0);
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  }
+  const std::chrono::duration<double, std::micro> elapsed = Clock::now() - start;
+  return (ProcessorTime(gateway.pid()) - before) / elapsed.count();
+}
+
 int Run() {
   testing::PlatformWorld world;
   world.Configure(1);
   world.AddServer("d-1", "desk");
-  for (int i = 0; i < 40; ++i) {
+  for (int i = 0; i < kEngines; ++i) {
     world.AddServer("m-" + std::to_string(i), "model");
   }
   testing::Process& gateway = world.StartGateway(1);
@@ -56,8 +129,14 @@
             << " us\n"
             << "new connection, no route: " << Measure(gateway, "GET", "/none/1", {}, true)
             << " us\n"
-            << "keep-alive connection, stream of 4 events, 40 engines: "
-            << Measure(gateway, "POST", "/chat/1", prompt, false) << " us\n";
+            << "keep-alive connection, stream of 4 events, " << kEngines
+            << " engines: " << Measure(gateway, "POST", "/chat/1", prompt, false) << " us\n";
+  SimulatedPeers peers;
+  std::cout << "report of " << kReportEngines << " engines and " << kReportSegments
+            << " segments, received from " << kPeers << " peers: " << MeasureReports(gateway, peers)
+            << " us\n"
+            << "idle, " << kPeers << " peers: " << 100 * MeasureIdle(gateway, peers)
+            << "% of a core\n";
   return 0;
 }
 
