--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -67,11 +67,11 @@
     const bool interim = head().result_int() / 100 == 1;
     if (!interim &&
         (response_info_.request_id.empty() || response_info_.request_id == request_id_)) {
-      // Without a request id the response may belong to another request; only failures are
-      // accepted.
+      // Without a request id the response may be a late copy of an earlier one; only failures on a
+      // connection without earlier requests are accepted.
       const bool success = head().result_int() / 100 == 2;
-      if (response_info_.request_id.empty() && success) {
-        co_return absl::DataLossError("success response without the request id");
+      if (response_info_.request_id.empty() && (success || connection_->reused)) {
+        co_return absl::DataLossError("response without the request id");
       }
       co_return absl::OkStatus();
     }
@@ -132,6 +132,8 @@
   return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+bool BackendCall::ends_with_connection() const { return parser_->need_eof(); }
+
 bool BackendCall::reusable() const {
   return connection_->written && parser_.has_value() && parser_->is_done() &&
          parser_->get().keep_alive() && connection_->buffer.size() == 0;
--- a/packages/gateway/src/backend_call.h
+++ b/packages/gateway/src/backend_call.h
@@ -36,6 +36,9 @@
   [[nodiscard]] const ResponseInfo& response_info() const { return response_info_; }
   /// Stated length of the body, if any.
   [[nodiscard]] std::optional<std::uint64_t> content_length() const;
+  /// True if the body has no stated length, so that the end of the connection ends it, whether the
+  /// backend server has sent all of it or not.
+  [[nodiscard]] bool ends_with_connection() const;
   /// True if the connection can carry another request.
   [[nodiscard]] bool reusable() const;
   [[nodiscard]] const BackendPool::Connection& connection() const { return connection_; }
--- a/packages/gateway/src/backend_pool.h
+++ b/packages/gateway/src/backend_pool.h
@@ -16,7 +16,11 @@
 
 /// An open connection to a backend server.
 struct BackendConnection {
-  explicit BackendConnection(asio::io_context& io) : socket(io) {}
+  /// Largest number of bytes that are buffered without being part of a body. Bounds heads, chunk
+  /// extensions and trailers that never end.
+  static constexpr std::size_t kMaxBufferedBytes = 128UL << 10U;
+
+  explicit BackendConnection(asio::io_context& io) : socket(io), buffer(kMaxBufferedBytes) {}
 
   asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -20,6 +20,11 @@
 constexpr Duration kBodyTimeout = std::chrono::seconds(15);
 /// Longest time for which input is drained after a response, before the socket is closed.
 constexpr Duration kLingeringCloseTimeout = std::chrono::milliseconds(1000);
+/// Largest number of bytes that are drained meanwhile.
+constexpr std::size_t kLingeringCloseBytes = 4UL << 20U;
+/// Bytes that are buffered beyond the limit on a request's header. Bounds chunk extensions and
+/// trailers that never end.
+constexpr std::size_t kBufferMargin = 64UL << 10U;
 /// Interval at which a caller with pipelined input is checked for a disconnect.
 constexpr milliseconds kDisconnectPollInterval{50};
 /// Retry-After for refusals by this gateway alone, which do not depend on the load of backend
@@ -109,6 +114,7 @@
   const auto configuration = context_.fleet.configuration();
   const CallerLimits limits = configuration == nullptr ? CallerLimits{} : configuration->limits;
   parser.header_limit(limits.max_header_bytes);
+  buffer_.max_size(limits.max_header_bytes + kBufferMargin);
   parser.body_limit(limits.max_body_bytes);
   SetReadTimeout(limits.header_timeout);
   ErrorCode error;
@@ -220,9 +226,10 @@
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
   SetReadTimeout(kLingeringCloseTimeout);
   std::array<char, 4096> discarded{};
-  while (!error) {
-    co_await socket_.async_read_some(asio::buffer(discarded),
-                                     asio::redirect_error(asio::use_awaitable, error));
+  std::size_t drained = 0;
+  while (!error && drained < kLingeringCloseBytes) {
+    drained += co_await socket_.async_read_some(asio::buffer(discarded),
+                                                asio::redirect_error(asio::use_awaitable, error));
   }
   timer_.cancel();
 }
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -16,6 +16,8 @@
 
 /// Time beyond the deadline for which a response in transit is still awaited.
 constexpr Duration kDeadlineGrace = std::chrono::milliseconds(60);
+/// Lateness of the watchdog from which silence is attributed to this process.
+constexpr Duration kMaxWatchdogLag = std::chrono::milliseconds(250);
 /// Largest number of attempts per request, including those that reached no backend server.
 constexpr int kMaxAttempts = 4;
 /// Fraction by which Retry-After is randomly extended, so that callers do not return all at once.
@@ -89,12 +91,17 @@
 
 void Exchange::StartWatchdog(Duration stall_timeout) {
   stall_timeout_ = stall_timeout;
+  watchdog_due_ = Time{};
   RecordProgress();
   ArmWatchdog();
 }
 
 void Exchange::ArmWatchdog() {
   const Time now = Now();
+  if (watchdog_due_ != Time{} && now - watchdog_due_ > kMaxWatchdogLag) {
+    // This process was suspended, so that a response may have arrived that it has not read yet.
+    RecordProgress();
+  }
   const Duration until_stalled = last_progress_ + stall_timeout_ - now;
   const Duration until_timeout = deadline_ + kDeadlineGrace - now;
   if (until_timeout <= Duration{0} || until_stalled <= Duration{0}) {
@@ -102,7 +109,9 @@
     return;
   }
   // Progress only updates a timestamp, which is compared when the timer fires.
-  watchdog_.expires_after(std::min(until_stalled, until_timeout));
+  const Duration wait = std::min(until_stalled, until_timeout);
+  watchdog_due_ = now + wait;
+  watchdog_.expires_after(wait);
   watchdog_.async_wait([weak = weak_from_this()](const ErrorCode& error) {
     if (const auto self = weak.lock(); self != nullptr && !error) {
       self->ArmWatchdog();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -109,6 +109,8 @@
   asio::steady_timer watchdog_;
   Duration stall_timeout_{0};
   Time last_progress_{};
+  /// When the watchdog is expected to run next.
+  Time watchdog_due_{};
   AbortReason abort_reason_ = AbortReason::kNone;
   BackendPool::Connection connection_;
   EventSplitter events_;
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -21,6 +21,8 @@
 /// Largest response that is buffered before it is forwarded.
 constexpr std::size_t kMaxBufferedResponseBytes = 1UL << 20U;
 constexpr std::size_t kReadBufferBytes = 16UL << 10U;
+/// Largest event of a stream that is buffered until it is complete.
+constexpr std::size_t kMaxEventBytes = 256UL << 10U;
 
 std::string_view ToStdView(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -245,10 +247,24 @@
     const bool at_body_end = *count == 0;
     std::string complete_events;
     if (at_body_end) {
+      if (call.ends_with_connection() && !events_.remainder().empty()) {
+        const AttemptResult result = ResponseInterrupted(
+            absl::DataLossError("the connection ended within an event"), server);
+        events_.DiscardRemainder();
+        co_return result;
+      }
       complete_events = std::string(events_.remainder());
     } else {
       RecordFirstByte(server);
       complete_events = events_.Append({chunk->data(), *count});
+      if (events_.remainder().size() > kMaxEventBytes) {
+        const AttemptResult result =
+            ResponseInterrupted(absl::ResourceExhaustedError(
+                                    absl::StrCat("an event exceeds ", kMaxEventBytes, " bytes")),
+                                server);
+        events_.DiscardRemainder();
+        co_return result;
+      }
     }
     const bool written = co_await WriteEvents(call, complete_events);
     if (!written) {
@@ -264,7 +280,10 @@
       const bool ended = co_await writer_.EndResponse();
       co_return ended ? AttemptResult::kCompleted : AttemptResult::kCallerDisconnected;
     }
-    RecordProgress();
+    if (!complete_events.empty()) {
+      // Bytes of an incomplete event are no progress: a stalled backend server may still send some.
+      RecordProgress();
+    }
     co_await context_.monitor.WaitForBatch();
   }
 }
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <functional>
 #include <vector>
 
 #include "caller_session.h"
@@ -89,12 +90,31 @@
     if (!started.ok()) {
       return 1;
     }
-    io_.run();
+    RunEventLoop();
     context_.log.Write(Severity::kState, "stopped", {{"requests", context_.active_requests}});
     return 0;
   }
 
  private:
+  /// Runs until the process stops. An exception of one handler ends neither the loop nor the work
+  /// of others.
+  void RunEventLoop() {
+    for (;;) {
+      try {
+        io_.run();
+        return;
+      } catch (const std::exception& error) {
+        context_.log.Write(Severity::kState, "internal_error",
+                           {{"where", "event_loop"}, {"reason", error.what()}});
+      }
+    }
+  }
+
+  /// Runs a service for the lifetime of the process.
+  void StartService(const char* name, std::function<asio::awaitable<void>()> service) {
+    Spawn(io_, context_.log, name, KeepRunning(context_.log, name, std::move(service)));
+  }
+
   absl::Status Start() {
     for (const auto& [acceptor, address] :
          {std::pair{&caller_acceptor_, settings_.caller_listen},
@@ -110,15 +130,15 @@
     if (absl::Status peers = context_.Start(); !peers.ok()) {
       return peers;
     }
-    Spawn(io_, context_.log, "follow_operators", operator_follower_.Run());
-    Spawn(io_, context_.log, "follow_servers", server_follower_.Run());
-    Spawn(io_, context_.log, "readiness", ServeReadiness());
-    Spawn(io_, context_.log, "metrics", ServeMetrics());
-    Spawn(io_, context_.log, "accept", AcceptCallers());
-    Spawn(io_, context_.log, "loop_monitor", context_.monitor.Run());
-    Spawn(io_, context_.log, "housekeeping", RunHousekeeping());
-    Spawn(io_, context_.log, "signals", HandleStopSignal());
-    Spawn(io_, context_.log, "reload", HandleReloadSignals());
+    StartService("follow_operators", [this] { return operator_follower_.Run(); });
+    StartService("follow_servers", [this] { return server_follower_.Run(); });
+    StartService("readiness", [this] { return ServeReadiness(); });
+    StartService("metrics", [this] { return ServeMetrics(); });
+    StartService("accept", [this] { return AcceptCallers(); });
+    StartService("loop_monitor", [this] { return context_.monitor.Run(); });
+    StartService("housekeeping", [this] { return RunHousekeeping(); });
+    StartService("signals", [this] { return HandleStopSignal(); });
+    StartService("reload", [this] { return HandleReloadSignals(); });
     return absl::OkStatus();
   }
 
@@ -290,7 +310,8 @@
       if (Now() - drain_started < kBalancerNoticeTime) {
         continue;
       }
-      if (context_.sessions->empty() && context_.active_requests == 0) {
+      if (context_.sessions->empty() && context_.active_requests == 0 &&
+          AcceptCaller() == asio::error::would_block) {
         break;
       }
       std::ranges::for_each(*context_.sessions, &CallerSession::CloseIfIdle);
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -7,9 +7,7 @@
 namespace lagoonwind::gateway {
 namespace {
 
-/// Time for which new prompt segments and crashes are repeated in reports, so that a single lost
-/// datagram loses none.
-constexpr Duration kSegmentRepeatTime = std::chrono::milliseconds(170);
+/// Time for which crashes are repeated in reports, so that a single lost datagram loses none.
 constexpr Duration kCrashRepeatTime = std::chrono::milliseconds(500);
 /// Customers' figures change slowly, so only every third report includes them.
 constexpr std::uint64_t kReportsPerCustomerUpdate = 3;
@@ -81,7 +79,9 @@
     load.DropSilentPeers(now);
   }
   report.engines = load.LocalReports();
-  report.segments = load.SegmentsSince(now - kSegmentRepeatTime);
+  // Each segment is in two reports, so that a single lost datagram loses none.
+  report.segments = load.SegmentsSince(last_reports_at_[0]);
+  last_reports_at_ = {last_reports_at_[1], now};
   report.crashes = suspects.CrashesSince(now - kCrashRepeatTime);
   if (report_count_++ % kReportsPerCustomerUpdate == 0) {
     report.customers = share.LocalReports();
--- a/packages/gateway/src/gateway_context.h
+++ b/packages/gateway/src/gateway_context.h
@@ -3,6 +3,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <memory>
@@ -76,6 +77,8 @@
   void ClearServerState(const BackendServer& server);
 
   std::uint64_t report_count_ = 0;
+  /// Times of the last but one report and of the last one.
+  std::array<Time, 2> last_reports_at_{};
   ReportFilter report_filter_;
 };
 
--- a/packages/gateway/src/peers.cc
+++ b/packages/gateway/src/peers.cc
@@ -6,7 +6,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "clock.h"
 #include "lagoonwind/http.h"
@@ -18,10 +20,6 @@
 using ErrorCode = boost::system::error_code;
 using nlohmann::json;
 
-/// Interval between reports; short compared with the time in which engines' queues change.
-constexpr milliseconds kReportInterval{80};
-/// The report interval is at least this long per live peer; bounds the rate of received datagrams.
-constexpr milliseconds kIntervalPerPeer{6};
 /// Time without a report after which a peer is considered down.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(1500);
 /// Interval between reports to a peer that is down.
@@ -32,30 +30,35 @@
 constexpr Duration kPeerExpiry = std::chrono::seconds(120);
 /// Interval between reads of the list of gateways in the store.
 constexpr std::chrono::seconds kPeerListInterval{30};
-/// Interval between searches for a peer with newer records.
-constexpr milliseconds kCopyInterval{250};
-constexpr milliseconds kCopyTimeout{1500};
-constexpr std::string_view kRecordsPath = "/records";
 /// Membership changes rarely, so only every twelfth report lists peers.
-constexpr std::uint64_t kReportsPerPeerList = 12;
+constexpr std::int64_t kReportsPerPeerList = 12;
 /// Largest number of peer addresses in one report.
 constexpr std::size_t kMaxListedPeers = 32;
+/// Largest number of peers; bounds the effect of malformed reports.
+constexpr std::size_t kMaxPeers = 4096;
+/// Relayed reports per datagram, in bytes; below the maximum size of a datagram.
+constexpr std::size_t kMaxBundleBytes = 32UL << 10U;
 
-const std::array<std::pair<const char*, Topic>, 2> kCopiedTopics{
-    {{"operator", Topic::kOperator}, {"servers", Topic::kServers}}};
-
-RecordPage ParsePage(const json& topic) {
-  RecordPage page{.next_offset = topic.at("next_offset")};
-  for (const auto& [key, value] : topic.at("records").items()) {
-    page.records.push_back({.key = key, .value = value.get<std::string>()});
-  }
-  return page;
+std::unique_ptr<policy::ReportRouter> MakeRouter(const Settings& settings) {
+  const policy::RoutingPeer self{.id = HandleOf<policy::GatewayId>(settings.ip),
+                                 .zone = HandleOf<ZoneId>(settings.zone),
+                                 .cpu_cores = settings.cpu_cores};
+  return policy::MakeZoneRelayRouter({.self = self});
 }
 
 }  // namespace
 
 Peers::Peers(asio::io_context& io, Options options)
-    : io_(io), options_(std::move(options)), socket_(io), acceptor_(io) {
+    : io_(io),
+      options_(std::move(options)),
+      socket_(io),
+      acceptor_(io),
+      copier_({.peer_port = options_.settings.peer_port,
+               .acceptor = acceptor_,
+               .fleet = options_.fleet,
+               .log = options_.log,
+               .find_newer_peer = [this] { return FindNewerPeer(); }}),
+      router_(MakeRouter(options_.settings)) {
   std::ranges::for_each(options_.settings.seeds, [this](const auto& seed) { AddPeer(seed); });
 }
 
@@ -77,27 +80,41 @@
   if (!listening.ok()) {
     return listening;
   }
-  Spawn(io_, options_.log, "receive_reports", ReceiveReports());
-  Spawn(io_, options_.log, "send_reports", SendReports());
-  Spawn(io_, options_.log, "register", Register());
-  Spawn(io_, options_.log, "copy_records", CopyNewerRecords());
-  Spawn(io_, options_.log, "serve_records", ServeRecords());
+  StartService("receive_reports", [this] { return ReceiveReports(); });
+  StartService("send_reports", [this] { return SendReports(); });
+  StartService("register", [this] { return Register(); });
+  StartService("copy_records", [this] { return copier_.CopyNewerRecords(); });
+  StartService("serve_records", [this] { return copier_.ServeRecords(); });
   return absl::OkStatus();
 }
 
-void Peers::AddPeer(const std::string& address) {
-  if (address != options_.settings.ip && http::ParseEndpoint(absl::StrCat(address, ":1")).ok()) {
-    peers_[address].last_listed = Now();
+void Peers::StartService(const char* name, std::function<asio::awaitable<void>()> service) {
+  Spawn(io_, options_.log, name, KeepRunning(options_.log, name, std::move(service)));
+}
+
+Peers::Peer* Peers::FindOrAddPeer(const std::string& address) {
+  const auto found = peers_.find(address);
+  if (found != peers_.end()) {
+    return &found->second;
   }
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(address, error);
+  if (error || address == options_.settings.ip || peers_.size() >= kMaxPeers) {
+    return nullptr;
+  }
+  Peer& peer = peers_[address];
+  peer.id = HandleOf<policy::GatewayId>(address);
+  peer.endpoint = Udp::endpoint(ip, options_.settings.peer_port);
+  return &peer;
 }
 
-int Peers::live_count() const {
-  return static_cast<int>(
-      std::ranges::count_if(peers_, [](const auto& item) { return item.second.is_up; }));
+void Peers::AddPeer(const std::string& address) {
+  if (Peer* peer = FindOrAddPeer(address); peer != nullptr) {
+    peer->last_listed = Now();
+  }
 }
 
-int Peers::fleet_size() const {
-  const Time now = Now();
+int Peers::CountFleet(Time now) const {
   const auto is_member = [&](const auto& item) {
     const Peer& peer = item.second;
     return now - std::max(peer.last_received, peer.last_listed) < kFleetMemberTtl;
@@ -108,14 +125,14 @@
 bool Peers::IsOwner(std::uint64_t key, int owners) const {
   const std::uint64_t own_hash = CombineHashes(key, StableHash(options_.settings.ip));
   const auto preceding = std::ranges::count_if(peers_, [&](const auto& item) {
-    return item.second.is_up && !item.second.leaving &&
-           CombineHashes(key, StableHash(item.first)) > own_hash;
+    const Peer& peer = item.second;
+    return peer.is_up && !peer.leaving && CombineHashes(key, peer.id.value) > own_hash;
   });
   return preceding < owners;
 }
 
-void Peers::HandleReport(std::string_view datagram, const std::string& address) {
-  const auto report = wire::DecodeGatewayReport(datagram);
+void Peers::HandleDatagram(std::string_view datagram, const std::string& address) {
+  auto report = wire::DecodeGatewayReport(datagram);
   if (!report.ok()) {
     options_.log.Write(Severity::kFailure, "peer_report_not_understood",
                        {{"peer", address}, {"reason", report.status().ToString()}});
@@ -124,23 +141,66 @@
   if (report->sender == options_.incarnation) {
     return;
   }
-  Peer& peer = peers_[address];
-  if (!peer.is_up || peer.incarnation != report->sender) {
+  const auto own_id = HandleOf<policy::GatewayId>(options_.settings.ip);
+  const policy::DatagramInfo info{
+      .sender = HandleOf<policy::GatewayId>(address),
+      .sender_zone = HandleOf<ZoneId>(report->zone),
+      .hears_us = std::ranges::find(report->heard, own_id) != report->heard.end(),
+      .wants_relay = report->wants_relay,
+      .is_bundle = !report->heard.empty()};
+  router_->RecordDatagram(info, Now());
+  ApplyReport(*report, address);
+  if (report->wants_relay) {
+    zone_reports_.emplace_back(datagram);
+  }
+  const bool is_foreign_bundle = info.is_bundle && report->zone != options_.settings.zone;
+  std::vector<std::string> relayed = std::move(report->relayed);
+  for (std::string& encoded : relayed) {
+    const auto other = wire::DecodeGatewayReport(encoded);
+    if (other.ok() && other->sender != options_.incarnation) {
+      ApplyReport(*other, other->address);
+    }
+    if (is_foreign_bundle && other.ok()) {
+      foreign_reports_.push_back(std::move(encoded));
+    }
+  }
+  if (is_foreign_bundle) {
+    // The relay's own report is not among the relayed ones.
+    report->relayed.clear();
+    report->heard.clear();
+    foreign_reports_.push_back(wire::EncodeGatewayReport(*report));
+  }
+}
+
+void Peers::ApplyReport(const wire::GatewayReport& report, const std::string& address) {
+  Peer* peer = FindOrAddPeer(address);
+  if (peer == nullptr) {
+    return;
+  }
+  const bool restarted = peer->incarnation != report.sender;
+  if (!restarted && report.number > 0 && report.number <= peer->last_number) {
+    return;
+  }
+  if (!peer->is_up || restarted) {
     options_.log.Write(Severity::kState, "peer_up", {{"peer", address}});
   }
-  peer.is_up = true;
-  peer.incarnation = report->sender;
-  peer.last_received = Now();
-  peer.operator_offset = report->operator_offset;
-  peer.servers_offset = report->servers_offset;
-  peer.leaving = report->leaving;
-  options_.fleet.PeerReachedStore(report->store_available_for, peer.last_received);
-  for (const std::string& other : report->known_peers) {
+  live_count_ += peer->is_up ? 0 : 1;
+  peer->is_up = true;
+  peer->incarnation = report.sender;
+  peer->last_number = report.number;
+  peer->last_received = Now();
+  peer->zone = HandleOf<ZoneId>(report.zone);
+  peer->cpu_cores = report.cpu_cores;
+  peer->operator_offset = report.operator_offset;
+  peer->servers_offset = report.servers_offset;
+  peer->leaving = report.leaving;
+  options_.fleet.PeerReachedStore(report.store_available_for, peer->last_received);
+  std::ranges::for_each(report.known_peers, [this](const std::string& other) {
     if (!peers_.contains(other)) {
       AddPeer(other);
     }
-  }
-  options_.on_report(*report);
+  });
+  options_.on_report(report);
 }
 
 asio::awaitable<void> Peers::ReceiveReports() {
@@ -150,42 +210,120 @@
     const std::size_t size = co_await socket_.async_receive_from(
         asio::buffer(receive_buffer_), sender, asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
-      HandleReport({receive_buffer_.data(), size}, sender.address().to_string());
+      HandleDatagram({receive_buffer_.data(), size}, sender.address().to_string());
     }
   }
 }
 
 void Peers::UpdateLiveness(Time now) {
-  for (auto& [address, peer] : peers_) {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    Peer& peer = it->second;
     if (peer.is_up && now - peer.last_received > kPeerTimeout) {
       peer.is_up = false;
       options_.log.Write(
           Severity::kState, "peer_silent",
-          {{"peer", address}, {"silent_ms", Milliseconds(now - peer.last_received)}});
+          {{"peer", it->first}, {"silent_ms", Milliseconds(now - peer.last_received)}});
     }
-  }
-  for (auto it = peers_.begin(); it != peers_.end();) {
-    const Peer& peer = it->second;
     if (now - std::max(peer.last_received, peer.last_listed) > kPeerExpiry) {
       peers_.erase(it++);
     } else {
       ++it;
     }
   }
+  live_count_ = static_cast<int>(
+      std::ranges::count_if(peers_, [](const auto& item) { return item.second.is_up; }));
+  fleet_size_ = CountFleet(now);
+}
+
+void Peers::Send(const std::string& datagram, Peer& peer, Time now) {
+  peer.last_sent = now;
+  ErrorCode error;
+  socket_.send_to(asio::buffer(datagram), peer.endpoint, 0, error);
+  // A lost report is superseded by the next one.
+  sent_bytes_ += error ? 0 : datagram.size();
 }
 
-void Peers::SendToPeers(const std::string& datagram, Time now) {
+void Peers::SendTo(std::span<const policy::GatewayId> recipients,
+                   std::span<const std::string> datagrams, Time now) {
   for (auto& [address, peer] : peers_) {
-    if (!peer.is_up && now - peer.last_sent < kDownPeerReportInterval) {
-      continue;
+    if (std::ranges::find(recipients, peer.id) != recipients.end()) {
+      std::ranges::for_each(datagrams,
+                            [&](const std::string& datagram) { Send(datagram, peer, now); });
     }
-    peer.last_sent = now;
-    ErrorCode error;
-    socket_.send_to(asio::buffer(datagram),
-                    Udp::endpoint(asio::ip::make_address(address), options_.settings.peer_port), 0,
-                    error);
-    // A lost report is superseded by the next one.
-    sent_bytes_ += error ? 0 : datagram.size();
+  }
+}
+
+wire::GatewayReport Peers::MakeReport(Time now) {
+  wire::GatewayReport report{.sender = options_.incarnation,
+                             .operator_offset = options_.fleet.offset(Topic::kOperator),
+                             .servers_offset = options_.fleet.offset(Topic::kServers),
+                             .store_available_for = std::chrono::duration_cast<milliseconds>(
+                                 options_.fleet.StoreReachableFor(now)),
+                             .leaving = leaving_,
+                             .address = options_.settings.ip,
+                             .zone = options_.settings.zone,
+                             .cpu_cores = options_.settings.cpu_cores,
+                             .number = ++report_count_};
+  const bool list_peers = report_count_ % kReportsPerPeerList == 1;
+  for (const auto& [address, peer] : peers_) {
+    if (list_peers && peer.is_up && report.known_peers.size() < kMaxListedPeers) {
+      report.known_peers.push_back(address);
+    }
+  }
+  options_.fill_report(report);
+  return report;
+}
+
+std::vector<std::string> Peers::EncodeBundles(wire::GatewayReport report,
+                                              std::span<const std::string> relayed, Time now) {
+  report.heard = router_->HeardGateways(now);
+  // Tells recipients that this is a bundle even if nobody is heard.
+  report.heard.push_back(HandleOf<policy::GatewayId>(options_.settings.ip));
+  std::vector<std::string> datagrams;
+  std::size_t bytes = 0;
+  for (const std::string& encoded : relayed) {
+    if (bytes + encoded.size() > kMaxBundleBytes && !report.relayed.empty()) {
+      datagrams.push_back(wire::EncodeGatewayReport(report));
+      report.relayed.clear();
+      bytes = 0;
+    }
+    bytes += encoded.size();
+    report.relayed.push_back(encoded);
+  }
+  datagrams.push_back(wire::EncodeGatewayReport(report));
+  return datagrams;
+}
+
+void Peers::SendRound(Time now) {
+  std::vector<policy::RoutingPeer> live;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.is_up) {
+      live.push_back(
+          {.id = peer.id, .zone = peer.zone, .cpu_cores = peer.cpu_cores, .leaving = peer.leaving});
+    }
+  }
+  const policy::ReportPlan plan = router_->Plan(live, now);
+  wire::GatewayReport report = MakeReport(now);
+  const std::vector<std::string> own{wire::EncodeGatewayReport(report)};
+  SendTo(plan.own_report, own, now);
+  for (auto& [address, peer] : peers_) {
+    if (!peer.is_up && now - peer.last_sent >= kDownPeerReportInterval) {
+      Send(own.front(), peer, now);
+    }
+  }
+  if (plan.relay) {
+    report.wants_relay = true;
+    const std::vector<std::string> request{wire::EncodeGatewayReport(report)};
+    SendTo(std::span(&*plan.relay, 1), request, now);
+    report.wants_relay = false;
+  }
+  std::vector<std::string> relayed = std::exchange(zone_reports_, {});
+  if (!plan.zone_reports.empty()) {
+    SendTo(plan.zone_reports, EncodeBundles(report, relayed, now), now);
+  }
+  std::ranges::move(std::exchange(foreign_reports_, {}), std::back_inserter(relayed));
+  if (!plan.all_reports.empty()) {
+    SendTo(plan.all_reports, EncodeBundles(std::move(report), relayed, now), now);
   }
 }
 
@@ -195,21 +333,8 @@
   for (;;) {
     const Time now = Now();
     UpdateLiveness(now);
-    wire::GatewayReport report{.sender = options_.incarnation,
-                               .operator_offset = options_.fleet.offset(Topic::kOperator),
-                               .servers_offset = options_.fleet.offset(Topic::kServers),
-                               .store_available_for = std::chrono::duration_cast<milliseconds>(
-                                   options_.fleet.StoreReachableFor(now)),
-                               .leaving = leaving_};
-    const bool list_peers = report_count_++ % kReportsPerPeerList == 0;
-    for (const auto& [address, peer] : peers_) {
-      if (list_peers && peer.is_up && report.known_peers.size() < kMaxListedPeers) {
-        report.known_peers.push_back(address);
-      }
-    }
-    options_.fill_report(report);
-    SendToPeers(wire::EncodeGatewayReport(report), now);
-    timer.expires_after(std::max(kReportInterval, kIntervalPerPeer * live_count()));
+    SendRound(now);
+    timer.expires_after(router_->Interval());
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
@@ -241,26 +366,6 @@
   }
 }
 
-std::string Peers::RecordsJson() const {
-  json topics;
-  for (const auto& [name, topic] : kCopiedTopics) {
-    topics[name] = {{"next_offset", options_.fleet.offset(topic)},
-                    {"records", options_.fleet.records(topic)}};
-  }
-  return topics.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-asio::awaitable<void> Peers::ServeRecords() {
-  const http::Handler handler = [this](http::Request request) -> asio::awaitable<http::Response> {
-    if (request.target != kRecordsPath) {
-      co_return http::Response{.status = 404};
-    }
-    co_return http::Response{
-        .status = 200, .content_type = "application/json", .body = RecordsJson()};
-  };
-  co_await http::Serve(acceptor_, handler, 0);
-}
-
 std::string Peers::FindNewerPeer() const {
   std::string newest;
   std::int64_t offset = options_.fleet.offset(Topic::kOperator);
@@ -283,43 +388,4 @@
   return newest;
 }
 
-asio::awaitable<absl::Status> Peers::CopyFrom(std::string address) {
-  http::Request request{.target = std::string(kRecordsPath)};
-  const std::string endpoint = absl::StrCat(address, ":", options_.settings.peer_port);
-  const auto response = co_await http::Fetch(endpoint, std::move(request), kCopyTimeout);
-  if (!response.ok()) {
-    co_return response.status();
-  }
-  const json body = json::parse(response->body, nullptr, false);
-  try {
-    for (const auto& [name, topic] : kCopiedTopics) {
-      options_.fleet.Apply(topic, ParsePage(body.at(name)), true, "peer", Now());
-    }
-  } catch (const json::exception& error) {
-    co_return absl::DataLossError(error.what());
-  }
-  co_return absl::OkStatus();
-}
-
-asio::awaitable<void> Peers::CopyNewerRecords() {
-  asio::steady_timer timer(io_);
-  std::string previous_newer;
-  for (;;) {
-    // A peer counts as newer only if it still is after one interval: normally the store sends new
-    // records to all gateways within that time.
-    const std::string newer = FindNewerPeer();
-    if (!newer.empty() && !previous_newer.empty()) {
-      const absl::Status copied = co_await CopyFrom(newer);
-      options_.log.Write(Severity::kState, "records_copied",
-                         {{"peer", newer},
-                          {"outcome", copied.ToString()},
-                          {"operator_offset", options_.fleet.offset(Topic::kOperator)},
-                          {"servers_offset", options_.fleet.offset(Topic::kServers)}});
-    }
-    previous_newer = newer;
-    timer.expires_after(kCopyInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
-}
-
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/peers.h
+++ b/packages/gateway/src/peers.h
@@ -7,20 +7,23 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <memory>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "event_log.h"
 #include "fleet_state.h"
 #include "lagoonwind/gateway.h"
 #include "lagoonwind/gateway_report.h"
+#include "lagoonwind/report_router.h"
+#include "record_copier.h"
 
 namespace lagoonwind::gateway {
 
-/// Exchanges reports with all other gateways (full mesh), and copies records from a peer that has
-/// newer ones, so that a gateway that cannot reach the store stays up to date. Each gateway sends
-/// one datagram to every peer per interval, so its cost grows with the number of gateways. Not
-/// thread safe.
+/// Exchanges reports with the other gateways and keeps track of which are up. A
+/// policy::ReportRouter decides which of them exchange reports directly. Not thread safe.
 class Peers {
  public:
   /// Called with each report received from a peer.
@@ -47,9 +50,9 @@
   void AnnounceLeaving() { leaving_ = true; }
 
   /// Number of gateways that fleet-wide limits are divided among, including this one.
-  [[nodiscard]] int fleet_size() const;
+  [[nodiscard]] int fleet_size() const { return fleet_size_; }
   /// Number of peers from which a report was received recently.
-  [[nodiscard]] int live_count() const;
+  [[nodiscard]] int live_count() const { return live_count_; }
   /// True if this gateway is among the `owners` gateways that rendezvous hashing selects for `key`.
   /// Gateways that see the same live peers select the same owners.
   [[nodiscard]] bool IsOwner(std::uint64_t key, int owners) const;
@@ -59,7 +62,13 @@
   using Udp = asio::ip::udp;
 
   struct Peer {
+    policy::GatewayId id;
+    Udp::endpoint endpoint;
     Incarnation incarnation;
+    /// Number of the newest report of that incarnation.
+    std::int64_t last_number = 0;
+    ZoneId zone;
+    double cpu_cores = 0;
     Time last_received{};
     Time last_sent{};
     Time last_listed{};
@@ -72,24 +81,44 @@
   asio::awaitable<void> ReceiveReports();
   asio::awaitable<void> SendReports();
   asio::awaitable<void> Register();
-  asio::awaitable<void> CopyNewerRecords();
-  asio::awaitable<void> ServeRecords();
-  asio::awaitable<absl::Status> CopyFrom(std::string address);
-  void HandleReport(std::string_view datagram, const std::string& address);
-  void SendToPeers(const std::string& datagram, Time now);
+  /// Runs a service for the lifetime of the process.
+  void StartService(const char* name, std::function<asio::awaitable<void>()> service);
+  /// Sends the reports of one interval.
+  void SendRound(Time now);
+  [[nodiscard]] wire::GatewayReport MakeReport(Time now);
+  /// Encodes datagrams with this gateway's report and the relayed ones.
+  [[nodiscard]] std::vector<std::string> EncodeBundles(wire::GatewayReport report,
+                                                       std::span<const std::string> relayed,
+                                                       Time now);
+  void SendTo(std::span<const policy::GatewayId> recipients, std::span<const std::string> datagrams,
+              Time now);
+  void Send(const std::string& datagram, Peer& peer, Time now);
+  void HandleDatagram(std::string_view datagram, const std::string& address);
+  /// Applies a report unless a newer one of the same gateway was applied before.
+  void ApplyReport(const wire::GatewayReport& report, const std::string& address);
   void UpdateLiveness(Time now);
+  [[nodiscard]] int CountFleet(Time now) const;
+  /// Returns null if `address` is not that of another gateway.
+  Peer* FindOrAddPeer(const std::string& address);
   void AddPeer(const std::string& address);
-  [[nodiscard]] std::string RecordsJson() const;
   [[nodiscard]] std::string FindNewerPeer() const;
 
   asio::io_context& io_;
   Options options_;
   Udp::socket socket_;
   asio::ip::tcp::acceptor acceptor_;
+  RecordCopier copier_;
+  std::unique_ptr<policy::ReportRouter> router_;
   std::array<char, 64UL << 10U> receive_buffer_{};
   absl::flat_hash_map<std::string, Peer> peers_;
+  /// Reports that gateways of this zone asked this one to distribute, and reports of other zones,
+  /// received since the last round.
+  std::vector<std::string> zone_reports_;
+  std::vector<std::string> foreign_reports_;
+  int live_count_ = 0;
+  int fleet_size_ = 1;
   bool leaving_ = false;
-  std::uint64_t report_count_ = 0;
+  std::int64_t report_count_ = 0;
   std::uint64_t sent_bytes_ = 0;
 };
 
--- /dev/null
+++ b/packages/gateway/src/record_copier.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+
+#include "event_log.h"
+#include "fleet_state.h"
+#include "lagoonwind/gateway.h"
+
+namespace lagoonwind::gateway {
+
+/// Copies records from a peer that has newer ones, so that a gateway that cannot reach the store
+/// stays up to date, and serves this gateway's records to its peers. Not thread safe.
+class RecordCopier {
+ public:
+  struct Options {
+    /// Port on which all gateways serve their records.
+    std::uint16_t peer_port = 0;
+    asio::ip::tcp::acceptor& acceptor;
+    FleetState& fleet;
+    EventLog& log;
+    /// Returns the IP address of a peer with newer records; empty if there is none.
+    std::function<std::string()> find_newer_peer;
+  };
+
+  explicit RecordCopier(Options options) : options_(std::move(options)) {}
+
+  /// Copies newer records as they appear, until the process ends.
+  asio::awaitable<void> CopyNewerRecords();
+  /// Serves records until the acceptor is closed.
+  asio::awaitable<void> ServeRecords();
+
+ private:
+  asio::awaitable<absl::Status> CopyFrom(std::string address);
+  [[nodiscard]] std::string RecordsJson() const;
+
+  Options options_;
+};
+
+}  // namespace lagoonwind::gateway
--- a/packages/policy/include/lagoonwind/engine_load.h
+++ b/packages/policy/include/lagoonwind/engine_load.h
@@ -114,7 +114,7 @@
 
   /// Reports of this gateway's own attempts, one per engine that it has used.
   [[nodiscard]] std::vector<EngineReport> LocalReports() const;
-  /// Segments that this gateway sent since `since`, at most one second ago.
+  /// Segments that this gateway sent since `since`, at most five seconds ago.
   [[nodiscard]] std::vector<SegmentReport> SegmentsSince(Time since) const;
   /// Applies the report of a peer.
   /// \param peer  Incarnation of the reporting gateway.
--- a/packages/policy/src/engine_load.cc
+++ b/packages/policy/src/engine_load.cc
@@ -21,7 +21,7 @@
 /// causes.
 constexpr double kMaxRateSampleRatio = 1.6;
 /// Time for which a sent segment stays available to reports.
-constexpr Duration kSegmentReportPeriod = std::chrono::seconds(1);
+constexpr Duration kSegmentReportPeriod = std::chrono::seconds(5);
 /// Number of segments above which those that no engine caches any more are removed.
 constexpr std::size_t kSegmentSweepSize = 16384;
 /// Longest time between two reports of a peer for which all tokens sent in between count as queued.
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -5732,6 +5732,34 @@
 void GatewayReport::__set_store_steady_ms(const int64_t val) {
   this->store_steady_ms = val;
 }
+
+void GatewayReport::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void GatewayReport::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void GatewayReport::__set_cpu_cores(const double val) {
+  this->cpu_cores = val;
+}
+
+void GatewayReport::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void GatewayReport::__set_wants_relay(const bool val) {
+  this->wants_relay = val;
+}
+
+void GatewayReport::__set_relayed(const std::vector<std::string> & val) {
+  this->relayed = val;
+}
+
+void GatewayReport::__set_heard(const std::vector<int64_t> & val) {
+  this->heard = val;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayReport& obj)
 {
   obj.printTo(out);
@@ -5900,6 +5928,86 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->cpu_cores);
+          this->__isset.cpu_cores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_relay);
+          this->__isset.wants_relay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relayed.clear();
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->relayed.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
+            {
+              xfer += iprot->readBinary(this->relayed[_i191]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relayed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->heard.clear();
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->heard.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
+            {
+              xfer += iprot->readI64(this->heard[_i196]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.heard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5936,10 +6044,10 @@
   xfer += oprot->writeFieldBegin("known_peers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known_peers.size()));
-    std::vector<std::string> ::const_iterator _iter187;
-    for (_iter187 = this->known_peers.begin(); _iter187 != this->known_peers.end(); ++_iter187)
+    std::vector<std::string> ::const_iterator _iter197;
+    for (_iter197 = this->known_peers.begin(); _iter197 != this->known_peers.end(); ++_iter197)
     {
-      xfer += oprot->writeString((*_iter187));
+      xfer += oprot->writeString((*_iter197));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5948,10 +6056,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EngineLoadReport> ::const_iterator _iter188;
-    for (_iter188 = this->engines.begin(); _iter188 != this->engines.end(); ++_iter188)
+    std::vector<EngineLoadReport> ::const_iterator _iter198;
+    for (_iter198 = this->engines.begin(); _iter198 != this->engines.end(); ++_iter198)
     {
-      xfer += (*_iter188).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5960,10 +6068,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<PromptPartReport> ::const_iterator _iter189;
-    for (_iter189 = this->parts.begin(); _iter189 != this->parts.end(); ++_iter189)
+    std::vector<PromptPartReport> ::const_iterator _iter199;
+    for (_iter199 = this->parts.begin(); _iter199 != this->parts.end(); ++_iter199)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5972,10 +6080,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<CustomerShareReport> ::const_iterator _iter190;
-    for (_iter190 = this->customers.begin(); _iter190 != this->customers.end(); ++_iter190)
+    std::vector<CustomerShareReport> ::const_iterator _iter200;
+    for (_iter200 = this->customers.begin(); _iter200 != this->customers.end(); ++_iter200)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter200).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5984,10 +6092,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter191;
-    for (_iter191 = this->crashes.begin(); _iter191 != this->crashes.end(); ++_iter191)
+    std::vector<CrashReport> ::const_iterator _iter201;
+    for (_iter201 = this->crashes.begin(); _iter201 != this->crashes.end(); ++_iter201)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter201).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5997,6 +6105,50 @@
   xfer += oprot->writeI64(this->store_steady_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cpu_cores", ::apache::thrift::protocol::T_DOUBLE, 13);
+  xfer += oprot->writeDouble(this->cpu_cores);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants_relay", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->wants_relay);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relayed", ::apache::thrift::protocol::T_LIST, 16);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relayed.size()));
+    std::vector<std::string> ::const_iterator _iter202;
+    for (_iter202 = this->relayed.begin(); _iter202 != this->relayed.end(); ++_iter202)
+    {
+      xfer += oprot->writeBinary((*_iter202));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heard.size()));
+    std::vector<int64_t> ::const_iterator _iter203;
+    for (_iter203 = this->heard.begin(); _iter203 != this->heard.end(); ++_iter203)
+    {
+      xfer += oprot->writeI64((*_iter203));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6014,61 +6166,96 @@
   swap(a.customers, b.customers);
   swap(a.crashes, b.crashes);
   swap(a.store_steady_ms, b.store_steady_ms);
+  swap(a.address, b.address);
+  swap(a.zone, b.zone);
+  swap(a.cpu_cores, b.cpu_cores);
+  swap(a.number, b.number);
+  swap(a.wants_relay, b.wants_relay);
+  swap(a.relayed, b.relayed);
+  swap(a.heard, b.heard);
   swap(a.__isset, b.__isset);
 }
 
-GatewayReport::GatewayReport(const GatewayReport& other192) {
-  incarnation = other192.incarnation;
-  operator_offset = other192.operator_offset;
-  servers_offset = other192.servers_offset;
-  leaving = other192.leaving;
-  known_peers = other192.known_peers;
-  engines = other192.engines;
-  parts = other192.parts;
-  customers = other192.customers;
-  crashes = other192.crashes;
-  store_steady_ms = other192.store_steady_ms;
-  __isset = other192.__isset;
-}
-GatewayReport::GatewayReport(GatewayReport&& other193) noexcept {
-  incarnation = other193.incarnation;
-  operator_offset = other193.operator_offset;
-  servers_offset = other193.servers_offset;
-  leaving = other193.leaving;
-  known_peers = std::move(other193.known_peers);
-  engines = std::move(other193.engines);
-  parts = std::move(other193.parts);
-  customers = std::move(other193.customers);
-  crashes = std::move(other193.crashes);
-  store_steady_ms = other193.store_steady_ms;
-  __isset = other193.__isset;
-}
-GatewayReport& GatewayReport::operator=(const GatewayReport& other194) {
-  incarnation = other194.incarnation;
-  operator_offset = other194.operator_offset;
-  servers_offset = other194.servers_offset;
-  leaving = other194.leaving;
-  known_peers = other194.known_peers;
-  engines = other194.engines;
-  parts = other194.parts;
-  customers = other194.customers;
-  crashes = other194.crashes;
-  store_steady_ms = other194.store_steady_ms;
-  __isset = other194.__isset;
+GatewayReport::GatewayReport(const GatewayReport& other204) {
+  incarnation = other204.incarnation;
+  operator_offset = other204.operator_offset;
+  servers_offset = other204.servers_offset;
+  leaving = other204.leaving;
+  known_peers = other204.known_peers;
+  engines = other204.engines;
+  parts = other204.parts;
+  customers = other204.customers;
+  crashes = other204.crashes;
+  store_steady_ms = other204.store_steady_ms;
+  address = other204.address;
+  zone = other204.zone;
+  cpu_cores = other204.cpu_cores;
+  number = other204.number;
+  wants_relay = other204.wants_relay;
+  relayed = other204.relayed;
+  heard = other204.heard;
+  __isset = other204.__isset;
+}
+GatewayReport::GatewayReport(GatewayReport&& other205) noexcept {
+  incarnation = other205.incarnation;
+  operator_offset = other205.operator_offset;
+  servers_offset = other205.servers_offset;
+  leaving = other205.leaving;
+  known_peers = std::move(other205.known_peers);
+  engines = std::move(other205.engines);
+  parts = std::move(other205.parts);
+  customers = std::move(other205.customers);
+  crashes = std::move(other205.crashes);
+  store_steady_ms = other205.store_steady_ms;
+  address = std::move(other205.address);
+  zone = std::move(other205.zone);
+  cpu_cores = other205.cpu_cores;
+  number = other205.number;
+  wants_relay = other205.wants_relay;
+  relayed = std::move(other205.relayed);
+  heard = std::move(other205.heard);
+  __isset = other205.__isset;
+}
+GatewayReport& GatewayReport::operator=(const GatewayReport& other206) {
+  incarnation = other206.incarnation;
+  operator_offset = other206.operator_offset;
+  servers_offset = other206.servers_offset;
+  leaving = other206.leaving;
+  known_peers = other206.known_peers;
+  engines = other206.engines;
+  parts = other206.parts;
+  customers = other206.customers;
+  crashes = other206.crashes;
+  store_steady_ms = other206.store_steady_ms;
+  address = other206.address;
+  zone = other206.zone;
+  cpu_cores = other206.cpu_cores;
+  number = other206.number;
+  wants_relay = other206.wants_relay;
+  relayed = other206.relayed;
+  heard = other206.heard;
+  __isset = other206.__isset;
   return *this;
 }
-GatewayReport& GatewayReport::operator=(GatewayReport&& other195) noexcept {
-  incarnation = other195.incarnation;
-  operator_offset = other195.operator_offset;
-  servers_offset = other195.servers_offset;
-  leaving = other195.leaving;
-  known_peers = std::move(other195.known_peers);
-  engines = std::move(other195.engines);
-  parts = std::move(other195.parts);
-  customers = std::move(other195.customers);
-  crashes = std::move(other195.crashes);
-  store_steady_ms = other195.store_steady_ms;
-  __isset = other195.__isset;
+GatewayReport& GatewayReport::operator=(GatewayReport&& other207) noexcept {
+  incarnation = other207.incarnation;
+  operator_offset = other207.operator_offset;
+  servers_offset = other207.servers_offset;
+  leaving = other207.leaving;
+  known_peers = std::move(other207.known_peers);
+  engines = std::move(other207.engines);
+  parts = std::move(other207.parts);
+  customers = std::move(other207.customers);
+  crashes = std::move(other207.crashes);
+  store_steady_ms = other207.store_steady_ms;
+  address = std::move(other207.address);
+  zone = std::move(other207.zone);
+  cpu_cores = other207.cpu_cores;
+  number = other207.number;
+  wants_relay = other207.wants_relay;
+  relayed = std::move(other207.relayed);
+  heard = std::move(other207.heard);
+  __isset = other207.__isset;
   return *this;
 }
 void GatewayReport::printTo(std::ostream& out) const {
@@ -6084,6 +6271,13 @@
   out << ", " << "customers=" << to_string(customers);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "store_steady_ms=" << to_string(store_steady_ms);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "cpu_cores=" << to_string(cpu_cores);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "wants_relay=" << to_string(wants_relay);
+  out << ", " << "relayed=" << to_string(relayed);
+  out << ", " << "heard=" << to_string(heard);
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -2280,7 +2280,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _GatewayReport__isset {
-  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false), store_steady_ms(false) {}
+  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false), store_steady_ms(false), address(false), zone(false), cpu_cores(false), number(false), wants_relay(false), relayed(false), heard(false) {}
   bool incarnation :1;
   bool operator_offset :1;
   bool servers_offset :1;
@@ -2291,6 +2291,13 @@
   bool customers :1;
   bool crashes :1;
   bool store_steady_ms :1;
+  bool address :1;
+  bool zone :1;
+  bool cpu_cores :1;
+  bool number :1;
+  bool wants_relay :1;
+  bool relayed :1;
+  bool heard :1;
 } _GatewayReport__isset;
 
 class GatewayReport : public virtual ::apache::thrift::TBase {
@@ -2305,7 +2312,12 @@
                   operator_offset(0),
                   servers_offset(0),
                   leaving(0),
-                  store_steady_ms(0) {
+                  store_steady_ms(0),
+                  address(),
+                  zone(),
+                  cpu_cores(0),
+                  number(0),
+                  wants_relay(0) {
   }
 
   virtual ~GatewayReport() noexcept;
@@ -2319,6 +2331,13 @@
   std::vector<CustomerShareReport>  customers;
   std::vector<CrashReport>  crashes;
   int64_t store_steady_ms;
+  std::string address;
+  std::string zone;
+  double cpu_cores;
+  int64_t number;
+  bool wants_relay;
+  std::vector<std::string>  relayed;
+  std::vector<int64_t>  heard;
 
   _GatewayReport__isset __isset;
 
@@ -2342,6 +2361,20 @@
 
   void __set_store_steady_ms(const int64_t val);
 
+  void __set_address(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_cpu_cores(const double val);
+
+  void __set_number(const int64_t val);
+
+  void __set_wants_relay(const bool val);
+
+  void __set_relayed(const std::vector<std::string> & val);
+
+  void __set_heard(const std::vector<int64_t> & val);
+
   bool operator == (const GatewayReport & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -2364,6 +2397,20 @@
       return false;
     if (!(store_steady_ms == rhs.store_steady_ms))
       return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(cpu_cores == rhs.cpu_cores))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(wants_relay == rhs.wants_relay))
+      return false;
+    if (!(relayed == rhs.relayed))
+      return false;
+    if (!(heard == rhs.heard))
+      return false;
     return true;
   }
   bool operator != (const GatewayReport &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -274,4 +274,16 @@
   9: list<CrashReport> crashes
   // Time for which the store has answered all calls; 0 while it doesn't.
   10: i64 store_steady_ms
+  // IP address, availability zone and CPU cores of the sender.
+  11: string address
+  12: string zone
+  13: double cpu_cores
+  // Number of the report within the sender's incarnation, from 1.
+  14: i64 number
+  // True if the sender asks the recipient to distribute the report.
+  15: bool wants_relay
+  // Encoded reports of other gateways.
+  16: list<binary> relayed
+  // Gateways that the sender hears directly.
+  17: list<i64> heard
 }
--- a/packages/wire/include/lagoonwind/gateway_report.h
+++ b/packages/wire/include/lagoonwind/gateway_report.h
@@ -11,6 +11,7 @@
 #include "lagoonwind/attempt_limits.h"
 #include "lagoonwind/customer_share.h"
 #include "lagoonwind/engine_load.h"
+#include "lagoonwind/report_router.h"
 
 /// \file
 /// The report that gateways send each other in UDP datagrams: configuration offsets, liveness of
@@ -28,6 +29,20 @@
   std::chrono::milliseconds store_available_for{0};
   /// True if the sender is shutting down.
   bool leaving = false;
+  /// IP address, availability zone and CPU cores of the sender's host. Address and zone are empty
+  /// in reports of older versions.
+  std::string address;
+  std::string zone;
+  double cpu_cores = 0;
+  /// Number of the report within the incarnation, from 1; 0 in reports of older versions. Reports
+  /// can arrive twice and out of order.
+  std::int64_t number = 0;
+  /// True if the sender asks the recipient to distribute the report to other gateways.
+  bool wants_relay = false;
+  /// Encoded reports of other gateways, which the sender distributes.
+  std::vector<std::string> relayed;
+  /// Gateways that the sender hears directly; only with relayed reports.
+  std::vector<policy::GatewayId> heard;
   /// IP addresses of other gateways; empty in most reports.
   std::vector<std::string> known_peers;
   /// Load that the sender has put on inference engines.
--- a/packages/wire/src/gateway_report.cc
+++ b/packages/wire/src/gateway_report.cc
@@ -4,6 +4,7 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <memory>
 
@@ -73,6 +74,23 @@
   return {.digest = {ToUnsigned(crash.digest)}, .server = {ToUnsigned(crash.server)}};
 }
 
+/// Largest count that a gateway can reach; sums over all gateways and engines do not overflow.
+constexpr std::int64_t kMaxCount = std::int64_t{1} << 48U;
+
+bool IsPlausible(const gen::GatewayReport& report) {
+  const auto in_range = [](std::int64_t count) { return count >= 0 && count <= kMaxCount; };
+  return in_range(report.store_steady_ms) && in_range(report.number) &&
+         std::isfinite(report.cpu_cores) &&
+         std::ranges::all_of(report.engines,
+                             [&](const gen::EngineLoadReport& engine) {
+                               return in_range(engine.read_tokens) && in_range(engine.running) &&
+                                      in_range(engine.running_tokens);
+                             }) &&
+         std::ranges::all_of(report.customers, [&](const gen::CustomerShareReport& customer) {
+           return in_range(customer.asked_tokens) && in_range(customer.admitted_tokens);
+         });
+}
+
 template <class Out, class In, class Function>
 std::vector<Out> TransformAll(const std::vector<In>& in, Function function) {
   std::vector<Out> out;
@@ -100,6 +118,14 @@
   out.servers_offset = report.servers_offset;
   out.store_steady_ms = report.store_available_for.count();
   out.leaving = report.leaving;
+  out.address = report.address;
+  out.zone = report.zone;
+  out.cpu_cores = report.cpu_cores;
+  out.number = report.number;
+  out.wants_relay = report.wants_relay;
+  out.relayed = report.relayed;
+  out.heard = TransformAll<std::int64_t>(report.heard,
+                                         [](policy::GatewayId id) { return ToSigned(id.value); });
   out.known_peers = report.known_peers;
   out.engines = ListToWire<gen::EngineLoadReport>(report.engines);
   out.parts = ListToWire<gen::PromptPartReport>(report.segments);
@@ -122,16 +148,28 @@
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(error.what());
   }
-  return GatewayReport{.sender = {ToUnsigned(in.incarnation)},
-                       .operator_offset = in.operator_offset,
-                       .servers_offset = in.servers_offset,
-                       .store_available_for = std::chrono::milliseconds(in.store_steady_ms),
-                       .leaving = in.leaving,
-                       .known_peers = std::move(in.known_peers),
-                       .engines = ListFromWire<policy::EngineReport>(in.engines),
-                       .segments = ListFromWire<policy::SegmentReport>(in.parts),
-                       .customers = ListFromWire<policy::CustomerReport>(in.customers),
-                       .crashes = ListFromWire<policy::CrashSuspects::Crash>(in.crashes)};
+  if (!IsPlausible(in)) {
+    return absl::InvalidArgumentError("a count of the report is negative or too large");
+  }
+  return GatewayReport{
+      .sender = {ToUnsigned(in.incarnation)},
+      .operator_offset = in.operator_offset,
+      .servers_offset = in.servers_offset,
+      .store_available_for = std::chrono::milliseconds(in.store_steady_ms),
+      .leaving = in.leaving,
+      .address = std::move(in.address),
+      .zone = std::move(in.zone),
+      .cpu_cores = in.cpu_cores,
+      .number = in.number,
+      .wants_relay = in.wants_relay,
+      .relayed = std::move(in.relayed),
+      .heard = TransformAll<policy::GatewayId>(
+          in.heard, [](std::int64_t id) { return policy::GatewayId{ToUnsigned(id)}; }),
+      .known_peers = std::move(in.known_peers),
+      .engines = ListFromWire<policy::EngineReport>(in.engines),
+      .segments = ListFromWire<policy::SegmentReport>(in.parts),
+      .customers = ListFromWire<policy::CustomerReport>(in.customers),
+      .crashes = ListFromWire<policy::CrashSuspects::Crash>(in.crashes)};
 }
 
 }  // namespace lagoonwind::wire
--- a/tests/end_to_end/backend_faults_test.cc
+++ b/tests/end_to_end/backend_faults_test.cc
@@ -246,8 +246,10 @@
 }
 
 TEST_CASE("a stalled stream that sends a byte now and then is resumed elsewhere, or ends") {
-  ScriptedFixture fixture("model", [](RawConnection& connection) -> asio::awaitable<void> {
+  std::atomic<int> executions = 0;
+  ScriptedFixture fixture("model", [&](RawConnection& connection) -> asio::awaitable<void> {
     const std::string id = co_await connection.ReadRequest();
+    ++executions;
     (void)co_await connection.Write(ResponseHeadOf(id, "Transfer-Encoding: chunked") +
                                     ChunkOf(EventOf(1)));
     bool open = true;
@@ -258,14 +260,16 @@
   });
   Caller caller(PlatformWorld::CallerAddress(1));
   CHECK(!caller.Send("POST", "/chat/1", "h1", kPromptFields, "body").complete);
+  Caller::Response response;
+  std::jthread request([&] {
+    response = Caller(PlatformWorld::CallerAddress(1))
+                   .Send("POST", "/plan/1", "h2", kPromptFields, "body");
+  });
+  REQUIRE(PlatformWorld::Await([&] { return executions == 2; }));
   fixture.world.AddServer("m-1", "model");
-  REQUIRE(PlatformWorld::Await([&] {
-    Caller other(PlatformWorld::CallerAddress(1));
-    auto fields = kPromptFields;
-    fields[2].value = "cc:200,dd:100";
-    const auto response = other.Send("POST", "/plan/1", "h2", fields, "body");
-    return response.complete && response.body == kExpectedStream;
-  }));
+  request.join();
+  CHECK(response.complete);
+  CHECK(response.body == kExpectedStream);
 }
 
 TEST_CASE("running work goes on while its backend server is missing from the store") {
--- a/tests/end_to_end/gateway_test.cc
+++ b/tests/end_to_end/gateway_test.cc
@@ -375,9 +375,10 @@
   SingleGatewayFixture fixture;
   Caller caller(PlatformWorld::CallerAddress(1));
   CHECK(caller.Send("GET", "/look/1", "q1").status == 200);
-  const rlimit no_more_descriptors{.rlim_cur = 8, .rlim_max = 4096};
   rlimit previous{};
-  REQUIRE(prlimit(fixture.gateway->pid(), RLIMIT_NOFILE, &no_more_descriptors, &previous) == 0);
+  REQUIRE(prlimit(fixture.gateway->pid(), RLIMIT_NOFILE, nullptr, &previous) == 0);
+  const rlimit no_more_descriptors{.rlim_cur = 8, .rlim_max = previous.rlim_max};
+  REQUIRE(prlimit(fixture.gateway->pid(), RLIMIT_NOFILE, &no_more_descriptors, nullptr) == 0);
   const Caller waiting(PlatformWorld::CallerAddress(1));
   const auto log_path = fixture.world.LogPath(1);
   REQUIRE(PlatformWorld::Await(
