Accept one connection between two polls again

Cause: accepting up to 64 connections at once let a surge in before requests in progress were served.

--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -48,8 +48,6 @@
 /// Fraction of the other descriptors that callers' connections may occupy. The rest is for
 /// connections to backend servers, of which a request needs one.
 constexpr double kCallerDescriptorFraction = 0.55;
-/// Connections accepted between two polls for other events.
-constexpr int kMaxAcceptsPerWakeup = 64;
 constexpr milliseconds kAcceptRetryPause{20};
 
 /// Largest number of callers' connections with which the process stays within its descriptors.
@@ -206,8 +204,6 @@
     }
   }
 
-  /// Accepts all connections that are ready, so that callers wait where the loop monitor sees it
-  /// instead of in the kernel's queue.
   asio::awaitable<void> AcceptCallers() {
     ErrorCode error;
     caller_acceptor_.non_blocking(true, error);
@@ -218,9 +214,8 @@
       if (error) {
         co_return;
       }
-      for (int accepted = 0; accepted < kMaxAcceptsPerWakeup && !error; ++accepted) {
-        error = AcceptCaller();
-      }
+      // One connection between two polls: on an overloaded host, requests in progress come first.
+      error = AcceptCaller();
       if (error && error != asio::error::would_block) {
         // Out of descriptors or memory: the connection stays queued, so that an immediate retry
         // would fail in the same way.
