Satisfy the linter in the new code

Casts, captures of structured bindings and containers as clang-tidy asks; no change of behaviour, and the tests check what they checked.

--- a/packages/gateway/src/event_log.h
+++ b/packages/gateway/src/event_log.h
@@ -31,11 +31,11 @@
   LogValue(T value) : value_(std::uint64_t{value}) {}
   LogValue(bool value) : value_(value) {}
   LogValue(double value) : value_(value) {}
-  LogValue(const char* text) : value_(std::string_view(text)) {}
+  LogValue(const char* text) : value_(std::string_view{text}) {}
   LogValue(std::string_view text) : value_(text) {}
-  LogValue(const std::string& text) : value_(std::string_view(text)) {}
+  LogValue(const std::string& text) : value_(std::string_view{text}) {}
   LogValue(std::span<const std::string> texts) : value_(texts) {}
-  LogValue(const std::vector<std::string>& texts) : value_(std::span<const std::string>(texts)) {}
+  LogValue(const std::vector<std::string>& texts) : value_(std::span<const std::string>{texts}) {}
   // NOLINTEND(google-explicit-constructor)
 
   /// Appends the value as JSON. Invalid UTF-8 is replaced.
--- a/packages/gateway/src/peers.cc
+++ b/packages/gateway/src/peers.cc
@@ -273,8 +273,9 @@
                    std::span<const std::string> datagrams, Time now) {
   for (auto& [address, peer] : peers_) {
     if (std::ranges::find(recipients, peer.id) != recipients.end()) {
-      std::ranges::for_each(datagrams,
-                            [&](const std::string& datagram) { Send(datagram, peer, now); });
+      for (const std::string& datagram : datagrams) {
+        Send(datagram, peer, now);
+      }
     }
   }
 }
--- a/tests/end_to_end/backend_faults_test.cc
+++ b/tests/end_to_end/backend_faults_test.cc
@@ -39,7 +39,7 @@
 /// them are in socket buffers.
 constexpr std::size_t kMaxUselessBytes = 64 * kMebibyte;
 /// Memory that a gateway may use while backend servers send bytes without end, in KiB.
-constexpr long kMaxMemoryKibibytes = 64L << 10U;
+constexpr std::int64_t kMaxMemoryKibibytes = 64 << 10U;
 
 /// A store and one gateway; the backend server of one service follows a script.
 struct ScriptedFixture {
@@ -81,12 +81,12 @@
 }
 
 /// Largest memory that the process has used, in KiB.
-long PeakMemory(pid_t pid) {
+std::int64_t PeakMemory(pid_t pid) {
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   const std::string field = "VmHWM:";
   for (std::string line; std::getline(status, line);) {
     if (line.starts_with(field)) {
-      return std::stol(line.substr(field.size()));
+      return std::stoll(line.substr(field.size()));
     }
   }
   return 0;
@@ -126,7 +126,8 @@
         co_return;
       }
       ++requests;
-      std::string response = late_copy + ResponseOf(id, "answer to " + id);
+      std::string response = late_copy;
+      response.append(ResponseOf(id, "answer to " + id));
       (void)co_await connection.Write(std::move(response));
       late_copy = "HTTP/1.1 503 Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     }
@@ -190,10 +191,10 @@
       {chunked_head + "5;extension=", false},                       // chunk extension
       {chunked_head + "0\r\nX-Long: ", false},                      // trailer
       {ResponseHeadOf("ID", "Connection: close"), false}};  // body that ends with the connection
-  for (const auto& [case_prefix, case_chunked] : cases) {
-    CAPTURE(case_prefix);
-    prefix = case_prefix;
-    chunked = case_chunked;
+  for (const auto& test_case : cases) {
+    prefix = test_case.first;
+    chunked = test_case.second;
+    CAPTURE(prefix);
     closed_by_gateway = false;
     const auto response = Caller(PlatformWorld::CallerAddress(1))
                               .Send("POST", "/book/1", "d", {kApiKeyField}, "body");
--- a/tests/end_to_end/gateway_test.cc
+++ b/tests/end_to_end/gateway_test.cc
@@ -362,10 +362,9 @@
   // Leaves room for 11 callers.
   world.SetMaxDescriptors(320);
   world.StartGateway(1);
-  std::vector<std::unique_ptr<Caller>> idle_callers;
-  for (int i = 0; i < 30; ++i) {
-    idle_callers.push_back(std::make_unique<Caller>(PlatformWorld::CallerAddress(1)));
-  }
+  std::vector<std::unique_ptr<Caller>> idle_callers(30);
+  std::ranges::generate(idle_callers,
+                        [] { return std::make_unique<Caller>(PlatformWorld::CallerAddress(1)); });
   Caller caller(PlatformWorld::CallerAddress(1));
   CHECK(caller.Send("GET", "/look/1", "p1").status == 200);
   CHECK(PlatformWorld::Await([&] { return idle_callers.front()->IsClosed(); }));
