--- a/tests/end_to_end/backend_faults_test.cc
+++ b/tests/end_to_end/backend_faults_test.cc
@@ -359,8 +359,10 @@
   std::atomic<bool> ready = true;
   std::atomic<int> answered = 0;
   std::atomic<int> cut_off = 0;
+  constexpr int kCallers = 8;
   std::vector<std::jthread> callers;
-  for (int caller_number = 0; caller_number < 8; ++caller_number) {
+  callers.reserve(kCallers);
+  for (int caller_number = 0; caller_number < kCallers; ++caller_number) {
     callers.emplace_back([&, caller_number] {
       // As the load balancer does, opens connections until the readiness check fails.
       for (int i = 0; ready; ++i) {
