Log how a response showed its end, and ends that only the connection told

The logs can't tell the hypotheses apart: whether the backend server had framed its response isn't logged, an end by the connection alone looks like any other end, and a response that was resumed looks like one that wasn't.

`request_done` and `answer_interrupted` have `framing` now (`length`, `chunked`, `close`), and a line `unframed_end` names each response whose end was the end of its connection, with bytes, last event and whether an attempt before it had begun the stream. No decision changes.

--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -127,13 +127,18 @@
   }
 }
 
-std::optional<std::uint64_t> BackendCall::content_length() const {
+BodyFraming BackendCall::framing() const {
+  if (parser_->need_eof()) {
+    return {.kind = BodyFraming::Kind::kUntilClose};
+  }
+  if (parser_->chunked()) {
+    return {.kind = BodyFraming::Kind::kChunked};
+  }
+  // Responses whose status excludes a body have no length either.
   const auto length = parser_->content_length();
-  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+  return {.kind = BodyFraming::Kind::kLength, .length = length ? *length : 0};
 }
 
-bool BackendCall::ends_with_connection() const { return parser_->need_eof(); }
-
 bool BackendCall::reusable() const {
   return connection_->written && parser_.has_value() && parser_->is_done() &&
          parser_->get().keep_alive() && connection_->buffer.size() == 0;
--- a/packages/gateway/src/backend_call.h
+++ b/packages/gateway/src/backend_call.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "backend_pool.h"
+#include "body_framing.h"
 #include "lagoonwind/gateway.h"
 
 namespace lagoonwind::gateway {
@@ -34,11 +35,8 @@
 
   [[nodiscard]] const ResponseHead& head() const { return parser_->get().base(); }
   [[nodiscard]] const ResponseInfo& response_info() const { return response_info_; }
-  /// Stated length of the body, if any.
-  [[nodiscard]] std::optional<std::uint64_t> content_length() const;
-  /// True if the body has no stated length, so that the end of the connection ends it, whether the
-  /// backend server has sent all of it or not.
-  [[nodiscard]] bool ends_with_connection() const;
+  /// How the response shows where its body ends.
+  [[nodiscard]] BodyFraming framing() const;
   /// True if the connection can carry another request.
   [[nodiscard]] bool reusable() const;
   [[nodiscard]] const BackendPool::Connection& connection() const { return connection_; }
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -485,6 +485,7 @@
        {"outcome", outcome},
        {"status", status},
        {"server", last_server_},
+       {"framing", Name(last_framing_)},
        {"sends", attempts_},
        {"verdict", policy::Name(first_decision_.verdict)},
        {"wait_ms", Milliseconds(estimate.queueing_delay)},
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -130,6 +130,8 @@
   void RecordProgress() { last_progress_ = Now(); }
   void AbortAttempt(AbortReason reason);
   void RecordFirstByte(const BackendServer& server);
+  /// Logs that the end of the connection was taken for the end of the response.
+  void LogUnframedEnd(const BackendServer& server, std::size_t bytes);
   /// Records that the connection ended, maybe by a crash of the backend server.
   void RecordBreak(const BackendServer& server);
   /// Records that the engine responds to the segments of the prompt.
@@ -183,6 +185,8 @@
   Time sent_at_{};
   Time first_byte_at_{};
   std::string last_server_;
+  /// Framing of the last response received.
+  BodyFraming::Kind last_framing_ = BodyFraming::Kind::kNone;
 };
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -119,6 +119,7 @@
   sent_at_ = Now();
   response_begun_ = false;
   event_reads_ = 0;
+  last_framing_ = BodyFraming::Kind::kNone;
   ++unresolved_attempts_;
   call.StartWrite(SerializeRequest(server));
   if (attempts_ == 1 && accepted_.request.prompt) {
@@ -152,6 +153,7 @@
   RecordProgress();
   const ResponseInfo& info = call.response_info();
   const unsigned status = call.head().result_int();
+  last_framing_ = call.framing().kind;
   if (info.not_run || info.wrong_server) {
     const auto body = co_await call.ReadBody(kMaxBufferedResponseBytes);
     context_.log.Write(Severity::kFailure, "backend_refused",
@@ -203,6 +205,7 @@
         {{"request", accepted_.request.id},
          {"server", server.name},
          {"reason", connection_broke ? status.ToString() : std::string(Describe(abort_reason_))},
+         {"framing", Name(last_framing_)},
          {"after_ms", Milliseconds(now - sent_at_)},
          {"reused_connection", connection_ != nullptr && connection_->reused},
          {"last_event", events_.last_id()}});
@@ -223,6 +226,16 @@
   return stream_begun_ ? AttemptResult::kInterrupted : AttemptResult::kUnknown;
 }
 
+void Exchange::LogUnframedEnd(const BackendServer& server, std::size_t bytes) {
+  context_.log.Write(Severity::kRoutine, "unframed_end",
+                     {{"request", accepted_.request.id},
+                      {"server", server.name},
+                      {"bytes", bytes},
+                      {"last_event", events_.last_id()},
+                      {"resumed", IsResumed()},
+                      {"after_ms", Milliseconds(Now() - sent_at_)}});
+}
+
 std::string_view Exchange::Describe(AbortReason reason) {
   constexpr std::array<std::string_view, 6> kDescriptions{
       "", "timeout", "no progress", "the process stops", "quarantined", "the caller disconnected"};
@@ -259,14 +272,18 @@
   if (!stream_begun_) {
     stream_begun_ = true;
     // The length may change if the stream resumes on another backend server.
-    writer_.BeginResponse(call.head(),
-                          accepted_.route->resumable ? std::nullopt : call.content_length());
+    const BodyFraming framing = call.framing();
+    const bool has_length =
+        framing.kind == BodyFraming::Kind::kLength && !accepted_.route->resumable;
+    writer_.BeginResponse(call.head(), has_length ? std::optional(framing.length) : std::nullopt);
   }
   co_return co_await writer_.WriteBodyChunk(bytes);
 }
 
 asio::awaitable<Exchange::AttemptResult> Exchange::RelayStream(BackendCall& call,
                                                                const BackendServer& server) {
+  const bool ends_with_connection = call.framing().kind == BodyFraming::Kind::kUntilClose;
+  std::size_t bytes = 0;
   auto chunk = std::make_unique<std::array<char, kReadBufferBytes>>();
   for (;;) {
     const auto count = co_await call.ReadBodyChunk(*chunk);
@@ -276,11 +293,12 @@
       co_return result;
     }
     const bool at_body_end = *count == 0;
+    bytes += *count;
     std::string complete_events;
     if (at_body_end) {
       // Only a resumed stream may have no event left.
       const bool has_no_event = event_reads_ == 0 && !IsResumed();
-      if (call.ends_with_connection() && (!events_.remainder().empty() || has_no_event)) {
+      if (ends_with_connection && (!events_.remainder().empty() || has_no_event)) {
         const AttemptResult result = ResponseInterrupted(
             absl::DataLossError("the connection ended within or before an event"), server);
         events_.DiscardRemainder();
@@ -320,11 +338,14 @@
     }
     if (at_body_end) {
       context_.health.RecordSuccess(server.id, Now());
-      if (!call.ends_with_connection()) {
+      if (!ends_with_connection) {
         RecordSegmentResponse();
-      } else if (event_reads_ < kEventReadsOfResponse) {
-        // A crash of the backend server may end the connection in the same way.
-        RecordBreak(server);
+      } else {
+        LogUnframedEnd(server, bytes);
+        if (event_reads_ < kEventReadsOfResponse) {
+          // A crash of the backend server may end the connection in the same way.
+          RecordBreak(server);
+        }
       }
       if (!stream_begun_) {
         stream_begun_ = true;
@@ -347,7 +368,9 @@
   context_.health.RecordSuccess(server.id, Now());
   const unsigned status = call.head().result_int();
   const bool failed = status / 100 == 5 || StatusImpliesNotExecuted(status);
-  if (status / 100 == 2 && !call.ends_with_connection()) {
+  if (call.framing().kind == BodyFraming::Kind::kUntilClose) {
+    LogUnframedEnd(server, body->size());
+  } else if (status / 100 == 2) {
     RecordSegmentResponse();
   }
   context_.health.RecordResponse(server.id, failed, Now());
