--- a/tests/end_to_end/backend_faults_test.cc
+++ b/tests/end_to_end/backend_faults_test.cc
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <fstream>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -15,6 +14,7 @@
 #include "caller.h"
 #include "platform_world.h"
 #include "raw_backend.h"
+#include "scripted_fixture.h"
 
 namespace lagoonwind {
 namespace {
@@ -22,14 +22,19 @@
 namespace asio = http::asio;
 using std::chrono::milliseconds;
 using testing::Caller;
+using testing::ChunkOf;
+using testing::EventOf;
 using testing::kApiKeyField;
 using testing::kPromptFields;
+using testing::NumberOf;
 using testing::PlatformWorld;
 using testing::RawBackend;
 using testing::RawConnection;
 using testing::ResponseHeadOf;
 using testing::ResponseOf;
+using testing::ScriptedFixture;
 using testing::ServerMode;
+using testing::WithId;
 
 constexpr const char* kExpectedStream =
     "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n"
@@ -41,49 +46,6 @@
 /// Memory that a gateway may use while backend servers send bytes without end, in KiB.
 constexpr std::int64_t kMaxMemoryKibibytes = 64 << 10U;
 
-/// A store and one gateway; the backend server of one service follows a script.
-struct ScriptedFixture {
-  ScriptedFixture(const std::string& service, RawBackend::Script script)
-      : backend(std::move(script)) {
-    world.Configure(1);
-    world.Register({.name = "raw", .service = service, .address = backend.address()});
-    gateway = &world.StartGateway(1);
-  }
-
-  [[nodiscard]] bool LogContains(const std::string& text) const {
-    std::ostringstream log;
-    log << std::ifstream(world.LogPath(1)).rdbuf();
-    return log.str().find(text) != std::string::npos;
-  }
-
-  RawBackend backend;
-  PlatformWorld world;
-  testing::Process* gateway = nullptr;
-};
-
-std::string EventOf(int id) {
-  const std::string number = std::to_string(id);
-  return "id: " + number + "\ndata: event " + number + "\n\n";
-}
-
-std::string ChunkOf(const std::string& data) {
-  std::ostringstream chunk;
-  chunk << std::hex << data.size() << "\r\n" << data << "\r\n";
-  return chunk.str();
-}
-
-/// Replaces the placeholder ID in a response.
-std::string WithId(std::string text, const std::string& id) {
-  for (std::size_t at = text.find("ID"); at != std::string::npos; at = text.find("ID", at)) {
-    text.replace(at, 2, id);
-  }
-  return text;
-}
-
-/// Number in a request id of one letter and a number. Scripts that need to know which request they
-/// respond to take it from the id: the test may be at another one already.
-std::size_t NumberOf(const std::string& id) { return std::stoul(id.substr(1)); }
-
 /// A response that goes on until the gateway closes the connection.
 struct EndlessResponse {
   /// With the placeholder ID.
@@ -365,7 +327,7 @@
       [&] { response = caller.Send("POST", "/plan/1", "i1", kPromptFields, "body"); });
   REQUIRE(PlatformWorld::Await([&] { return executions == 1; }));
   fixture.world.AddServer("m-1", "model");
-  fixture.world.Delete("keyed.servers", "raw");
+  fixture.world.Delete("keyed.servers", "raw-1");
   REQUIRE(PlatformWorld::Await([&] { return fixture.LogContains("server_gone"); }));
   goes_on = true;
   request.join();
--- a/tests/support/caller.cc
+++ b/tests/support/caller.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -21,15 +22,7 @@
 Caller::Response Caller::Send(const std::string& method, const std::string& target,
                               const std::string& id, const std::vector<http::Field>& fields,
                               const std::string& body) {
-  std::string text = absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: shop\r\n",
-                                  "X-Attempt-Id: ", id, "\r\nX-Deadline-Ms: 4000\r\n");
-  for (const auto& field : fields) {
-    absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
-  }
-  if (method != "GET") {
-    absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n");
-  }
-  return SendRaw(absl::StrCat(text, "\r\n", body));
+  return SendRaw(RequestOf(method, target, id, fields, body));
 }
 
 Caller::Response Caller::SendRaw(const std::string& bytes) {
@@ -41,7 +34,8 @@
   const auto& message = parser.get();
   Response response{.status = parser.is_header_done() ? message.result_int() : 0,
                     .body = message.body(),
-                    .complete = !error && parser.is_done()};
+                    .complete = !error && parser.is_done(),
+                    .framed = parser.is_header_done() && !parser.need_eof()};
   for (const auto& field : message) {
     response.fields.push_back(
         {.name = field.name_string().to_string(), .value = field.value().to_string()});
@@ -74,4 +68,28 @@
   return error && error != asio::error::would_block;
 }
 
+std::string RequestOf(const std::string& method, const std::string& target, const std::string& id,
+                      const std::vector<http::Field>& fields, const std::string& body) {
+  std::string text = absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: shop\r\n",
+                                  "X-Attempt-Id: ", id, "\r\nX-Deadline-Ms: 4000\r\n");
+  for (const auto& field : fields) {
+    absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
+  }
+  if (method != "GET") {
+    absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n");
+  }
+  return absl::StrCat(text, "\r\n", body);
+}
+
+std::string ReceiveAll(const std::string& address, const std::string& bytes) {
+  asio::io_context io;
+  http::Tcp::socket socket(io);
+  socket.connect(*http::ParseEndpoint(address));
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(bytes), error);
+  std::string received;
+  asio::read(socket, asio::dynamic_buffer(received), error);
+  return received;
+}
+
 }  // namespace lagoonwind::testing
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -27,6 +27,8 @@
     std::string body;
     /// False if the connection ended before the whole response was received.
     bool complete = false;
+    /// True if a length or a last chunk shows where the body ends, not only the connection's end.
+    bool framed = false;
   };
 
   /// Sends a request with the attempt id `id` and reads its response.
@@ -48,4 +50,11 @@
   std::string buffer_;
 };
 
+/// Returns the bytes of a request with the attempt id `id`.
+std::string RequestOf(const std::string& method, const std::string& target, const std::string& id,
+                      const std::vector<http::Field>& fields = {}, const std::string& body = "");
+
+/// Sends `bytes` on a new connection. \return All bytes received until the connection ended.
+std::string ReceiveAll(const std::string& address, const std::string& bytes);
+
 }  // namespace lagoonwind::testing
