Pass on responses without framing as they came, not as complete

Cause: a response with neither a length nor chunks ends with its connection. The gateway took each ordered close for the end of the body and sent its own last chunk, or a Content-Length for a buffered body, so that the caller knew more than anybody could know. Class: absence of an error taken for evidence of success.

Change: - CallerWriter frames a response as the backend server did. Without framing, the caller's connection closes with the response; until its ordered end the socket is set to reset on close, so that breaking it off, and also the death of the gateway, can't look like the end. - A stream that began with framing and whose last part has none is broken off or resumed once more, never ended. - A part without framing and without an event is an interruption, also if the stream was resumed before. - Such an end is no success for ServerHealth, for the failure ratio or for a pool of idle connections; outcome, metric and explain call it `answered_unframed`.

A sound caller pays one connection for each such response; framed ones are passed on as before.

It works whatever is estimated: the framing of the caller's response depends on nothing but the framing of the backend server's.

--- a/apps/lagoonctl/request_timeline.cc
+++ b/apps/lagoonctl/request_timeline.cc
@@ -82,7 +82,7 @@
   const double first = Number(line, "first_byte_ms");
   const double expected = Number(line, "wait_ms") + Number(line, "read_ms");
   std::string text = absl::StrFormat(
-      "answered with %s by %s: first byte after %.0f ms, complete after %.0f ms",
+      "answered with %s by %s: first byte after %.0f ms, ended after %.0f ms",
       Field(line, "status"), Field(line, "server"), first, Number(line, "total_ms"));
   if (first - expected > kLateFirstByteMs) {
     absl::StrAppend(&text,
@@ -103,6 +103,11 @@
   if (outcome == "answered") {
     return DescribeResponse(line);
   }
+  if (outcome == "answered_unframed") {
+    return absl::StrCat(DescribeResponse(line),
+                        "; only the end of a connection showed where the response ends, so that "
+                        "it may have been broken off");
+  }
   if (outcome == "broken_off") {
     return absl::StrCat("the response of ", Field(line, "server"),
                         " ended midway; it ran, and whether it completed there is unknown");
--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -141,7 +141,7 @@
 
 bool BackendCall::reusable() const {
   return connection_->written && parser_.has_value() && parser_->is_done() &&
-         parser_->get().keep_alive() && connection_->buffer.size() == 0;
+         parser_->keep_alive() && connection_->buffer.size() == 0;
 }
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/caller_writer.cc
+++ b/packages/gateway/src/caller_writer.cc
@@ -49,7 +49,19 @@
   co_return co_await Flush();
 }
 
-void CallerWriter::AppendHead(const ResponseHead& head) {
+void CallerWriter::SetResetOnClose(bool reset) {
+  boost::system::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
+void CallerWriter::AppendHead(const ResponseHead& head, BodyFraming framing) {
+  framing_ = framing.kind;
+  if (!framed()) {
+    // A reset is the only way to break off a body that ends with its connection. Set from the
+    // beginning, so that an unexpected end of the process resets the connection, too.
+    SetResetOnClose(true);
+    CloseAfterResponse();
+  }
   absl::StrAppendFormat(&out_, "HTTP/1.1 %d %s\r\n", head.result_int(),
                         std::string(ToStdView(head.reason())));
   for (const auto& field : head) {
@@ -61,42 +73,47 @@
     }
   }
   out_.append(close_after_response_ ? kConnectionClose : "");
+  if (framing.kind == BodyFraming::Kind::kChunked) {
+    out_.append("Transfer-Encoding: chunked\r\n");
+  } else if (framed()) {
+    absl::StrAppendFormat(&out_, "Content-Length: %d\r\n", framing.length);
+  }
+  out_.append(kCrlf);
 }
 
-asio::awaitable<bool> CallerWriter::WriteResponse(const ResponseHead& head, std::string_view body) {
-  AppendHead(head);
-  absl::StrAppendFormat(&out_, "Content-Length: %d\r\n\r\n", body.size());
+asio::awaitable<bool> CallerWriter::WriteResponse(const ResponseHead& head, BodyFraming framing,
+                                                  std::string_view body) {
+  if (framing.kind != BodyFraming::Kind::kUntilClose) {
+    framing = {.kind = BodyFraming::Kind::kLength, .length = body.size()};
+  }
+  AppendHead(head, framing);
   out_.append(body);
-  co_return co_await Flush();
+  co_return co_await EndResponse();
 }
 
-void CallerWriter::BeginResponse(const ResponseHead& head, std::optional<std::uint64_t> length) {
-  AppendHead(head);
-  chunked_ = !length.has_value();
-  if (chunked_) {
-    out_.append("Transfer-Encoding: chunked\r\n\r\n");
-  } else {
-    absl::StrAppendFormat(&out_, "Content-Length: %d\r\n\r\n", *length);
-  }
+void CallerWriter::BeginResponse(const ResponseHead& head, BodyFraming framing) {
+  AppendHead(head, framing);
 }
 
 asio::awaitable<bool> CallerWriter::WriteBodyChunk(std::string_view chunk) {
   if (chunk.empty()) {
     co_return true;
   }
-  if (chunked_) {
+  const bool chunked = framing_ == BodyFraming::Kind::kChunked;
+  if (chunked) {
     absl::StrAppendFormat(&out_, "%x\r\n", chunk.size());
   }
-  out_.append(chunk).append(chunked_ ? kCrlf : "");
+  out_.append(chunk).append(chunked ? kCrlf : "");
   co_return co_await Flush();
 }
 
 asio::awaitable<bool> CallerWriter::EndResponse() {
-  out_.append(chunked_ ? kLastChunk : "");
-  if (out_.empty()) {
-    co_return true;
+  out_.append(framing_ == BodyFraming::Kind::kChunked ? kLastChunk : "");
+  const bool written = out_.empty() || co_await Flush();
+  if (written && !framed()) {
+    SetResetOnClose(false);
   }
-  co_return co_await Flush();
+  co_return written;
 }
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -45,6 +45,9 @@
 
 constexpr std::string_view kQuarantined = "quarantined: the request crashes backend servers";
 constexpr std::string_view kCutByStop = "cut_by_stop";
+constexpr std::string_view kAnswered = "answered";
+/// Outcome of a response whose end the caller can't tell from a broken connection.
+constexpr std::string_view kAnsweredUnframed = "answered_unframed";
 
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -411,7 +414,7 @@
       co_return co_await Reject(decision_);
   }
   if (stream_begun_ && result == AttemptResult::kCompleted) {
-    LogCompletion("answered", 200);
+    LogCompletion(writer_.framed() ? kAnswered : kAnsweredUnframed, 200);
     co_return true;
   }
   if (stream_begun_ || !buffered_response_) {
@@ -424,9 +427,10 @@
     // would state this, must not be forwarded.
     co_return co_await SendLocalResponse(kBadGateway, "the backend server failed", std::nullopt);
   }
-  const bool written =
-      co_await writer_.WriteResponse(buffered_response_->head, buffered_response_->body);
-  LogCompletion(status / 100 == 2 ? "answered" : "backend_failure", status);
+  const bool written = co_await writer_.WriteResponse(
+      buffered_response_->head, buffered_response_->framing, buffered_response_->body);
+  const std::string_view success = writer_.framed() ? kAnswered : kAnsweredUnframed;
+  LogCompletion(status / 100 == 2 ? success : "backend_failure", status);
   co_return written;
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -85,6 +85,7 @@
 
   struct BufferedResponse {
     ResponseHead head;
+    BodyFraming framing;
     std::string body;
   };
 
@@ -130,8 +131,14 @@
   void RecordProgress() { last_progress_ = Now(); }
   void AbortAttempt(AbortReason reason);
   void RecordFirstByte(const BackendServer& server);
-  /// Logs that the end of the connection was taken for the end of the response.
-  void LogUnframedEnd(const BackendServer& server, std::size_t bytes);
+  /// Ends the caller's response after the last event, unless that would state more than is known.
+  /// \param bytes  Length of the body that the backend server sent.
+  asio::awaitable<AttemptResult> EndStream(BackendCall& call, const BackendServer& server,
+                                           std::size_t bytes);
+  /// Records that only the end of the connection showed the end of the response, so that it may
+  /// have been broken off.
+  /// \param bytes  Length of the body that the backend server sent.
+  void RecordUnframedEnd(const BackendServer& server, std::size_t bytes);
   /// Records that the connection ended, maybe by a crash of the backend server.
   void RecordBreak(const BackendServer& server);
   /// Records that the engine responds to the segments of the prompt.
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -226,14 +226,16 @@
   return stream_begun_ ? AttemptResult::kInterrupted : AttemptResult::kUnknown;
 }
 
-void Exchange::LogUnframedEnd(const BackendServer& server, std::size_t bytes) {
+void Exchange::RecordUnframedEnd(const BackendServer& server, std::size_t bytes) {
+  const Time now = Now();
+  context_.health.RecordUnframedEnd(server.id);
   context_.log.Write(Severity::kRoutine, "unframed_end",
                      {{"request", accepted_.request.id},
                       {"server", server.name},
                       {"bytes", bytes},
                       {"last_event", events_.last_id()},
                       {"resumed", IsResumed()},
-                      {"after_ms", Milliseconds(Now() - sent_at_)}});
+                      {"after_ms", Milliseconds(now - sent_at_)}});
 }
 
 std::string_view Exchange::Describe(AbortReason reason) {
@@ -271,11 +273,12 @@
   }
   if (!stream_begun_) {
     stream_begun_ = true;
-    // The length may change if the stream resumes on another backend server.
-    const BodyFraming framing = call.framing();
-    const bool has_length =
-        framing.kind == BodyFraming::Kind::kLength && !accepted_.route->resumable;
-    writer_.BeginResponse(call.head(), has_length ? std::optional(framing.length) : std::nullopt);
+    BodyFraming framing = call.framing();
+    if (framing.kind == BodyFraming::Kind::kLength && accepted_.route->resumable) {
+      // The length may change if the stream resumes on another backend server.
+      framing = {.kind = BodyFraming::Kind::kChunked};
+    }
+    writer_.BeginResponse(call.head(), framing);
   }
   co_return co_await writer_.WriteBodyChunk(bytes);
 }
@@ -296,9 +299,7 @@
     bytes += *count;
     std::string complete_events;
     if (at_body_end) {
-      // Only a resumed stream may have no event left.
-      const bool has_no_event = event_reads_ == 0 && !IsResumed();
-      if (ends_with_connection && (!events_.remainder().empty() || has_no_event)) {
+      if (ends_with_connection && (!events_.remainder().empty() || event_reads_ == 0)) {
         const AttemptResult result = ResponseInterrupted(
             absl::DataLossError("the connection ended within or before an event"), server);
         events_.DiscardRemainder();
@@ -337,27 +338,38 @@
       co_return AttemptResult::kCallerDisconnected;
     }
     if (at_body_end) {
-      context_.health.RecordSuccess(server.id, Now());
-      if (!ends_with_connection) {
-        RecordSegmentResponse();
-      } else {
-        LogUnframedEnd(server, bytes);
-        if (event_reads_ < kEventReadsOfResponse) {
-          // A crash of the backend server may end the connection in the same way.
-          RecordBreak(server);
-        }
-      }
-      if (!stream_begun_) {
-        stream_begun_ = true;
-        writer_.BeginResponse(call.head(), std::uint64_t{0});
-      }
-      const bool ended = co_await writer_.EndResponse();
-      co_return ended ? AttemptResult::kCompleted : AttemptResult::kCallerDisconnected;
+      co_return co_await EndStream(call, server, bytes);
     }
     co_await context_.monitor.WaitForBatch();
   }
 }
 
+asio::awaitable<Exchange::AttemptResult> Exchange::EndStream(BackendCall& call,
+                                                             const BackendServer& server,
+                                                             std::size_t bytes) {
+  if (call.framing().kind == BodyFraming::Kind::kUntilClose) {
+    RecordUnframedEnd(server, bytes);
+    if (event_reads_ < kEventReadsOfResponse) {
+      // A crash of the backend server may end the connection in the same way.
+      RecordBreak(server);
+    }
+    if (writer_.framed()) {
+      // An attempt before this one had framing, so that ending the response would state that it is
+      // whole.
+      co_return AttemptResult::kInterrupted;
+    }
+  } else {
+    context_.health.RecordSuccess(server.id, Now());
+    RecordSegmentResponse();
+  }
+  if (!stream_begun_) {
+    stream_begun_ = true;
+    writer_.BeginResponse(call.head(), {.kind = BodyFraming::Kind::kLength});
+  }
+  const bool ended = co_await writer_.EndResponse();
+  co_return ended ? AttemptResult::kCompleted : AttemptResult::kCallerDisconnected;
+}
+
 asio::awaitable<Exchange::AttemptResult> Exchange::BufferResponse(BackendCall& call,
                                                                   const BackendServer& server) {
   auto body = co_await call.ReadBody(kMaxBufferedResponseBytes);
@@ -365,16 +377,24 @@
     co_return ResponseInterrupted(body.status(), server);
   }
   RecordFirstByte(server);
-  context_.health.RecordSuccess(server.id, Now());
   const unsigned status = call.head().result_int();
   const bool failed = status / 100 == 5 || StatusImpliesNotExecuted(status);
-  if (call.framing().kind == BodyFraming::Kind::kUntilClose) {
-    LogUnframedEnd(server, body->size());
-  } else if (status / 100 == 2) {
-    RecordSegmentResponse();
+  const BodyFraming framing = call.framing();
+  const bool unframed = framing.kind == BodyFraming::Kind::kUntilClose;
+  if (unframed) {
+    RecordUnframedEnd(server, body->size());
+  } else {
+    context_.health.RecordSuccess(server.id, Now());
+    if (status / 100 == 2) {
+      RecordSegmentResponse();
+    }
+  }
+  // The head shows a failure; that a response without framing succeeded can't be told.
+  if (failed || !unframed) {
+    context_.health.RecordResponse(server.id, failed, Now());
   }
-  context_.health.RecordResponse(server.id, failed, Now());
-  buffered_response_ = BufferedResponse{.head = call.head(), .body = *std::move(body)};
+  buffered_response_ =
+      BufferedResponse{.head = call.head(), .framing = framing, .body = *std::move(body)};
   co_return failed ? AttemptResult::kServerFailed : AttemptResult::kCompleted;
 }
 
--- a/packages/policy/include/lagoonwind/dispatch.h
+++ b/packages/policy/include/lagoonwind/dispatch.h
@@ -26,6 +26,9 @@
   /// Records a complete response, which ends an ejection and resets the count of consecutive
   /// failures.
   void RecordSuccess(ServerId server, Time now);
+  /// Records a response whose end only the end of its connection showed: it ends a run of
+  /// consecutive failures, as the backend server has responded, but not an ejection.
+  void RecordUnframedEnd(ServerId server) { servers_[server].consecutive_failures = 0; }
   /// Records a refused or broken connection, a malformed response or a request that made no
   /// progress.
   void RecordFailure(ServerId server, Time now);
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -240,6 +240,26 @@
   CHECK(fleet.Decide(RequestOf(kLight, prompt), At(60000)).verdict == DispatchVerdict::kSend);
 }
 
+TEST_CASE("a response that may have been broken off ends no ejection") {
+  ServerHealth health;
+  const ServerId server{.value = 1};
+  constexpr int kFailures = 8;
+  for (int i = 0; i < kFailures; ++i) {
+    health.RecordFailure(server, At(i));
+  }
+  REQUIRE(health.IsEjected(server, At(kFailures)));
+  health.RecordUnframedEnd(server);
+  CHECK(health.IsEjected(server, At(kFailures)));
+  health.RecordSuccess(server, At(kFailures));
+  CHECK_FALSE(health.IsEjected(server, At(kFailures)));
+  // It ends a run of consecutive failures, though.
+  for (int i = 0; i < kFailures; ++i) {
+    health.RecordFailure(server, At(kFailures + i));
+    health.RecordUnframedEnd(server);
+    CHECK_FALSE(health.IsEjected(server, At(kFailures + i)));
+  }
+}
+
 TEST_CASE("a cold engine gets no more than its request rate, though it is the least loaded") {
   Fleet fleet(2);
   fleet.candidates[0].cold_rate_limit = 4;
--- a/tests/unit/request_timeline_test.cc
+++ b/tests/unit/request_timeline_test.cc
@@ -41,6 +41,17 @@
   CHECK(timeline->conclusion.find("30 ms were expected") != std::string::npos);
 }
 
+TEST_CASE("the conclusion of a response without framing states that it may have been broken off") {
+  const auto timeline =
+      ReadLogs(
+          "h8",
+          R"({"time_ms":7,"process":"edge-1","event":"request_done","request":"h8","outcome":"answered_unframed","status":200,"server":"s-1","framing":"close","sends":1,"verdict":"send","wait_ms":10.0,"read_ms":20.0,"first_byte_ms":50.0,"total_ms":70.0})")
+          .Timeline();
+  REQUIRE(timeline.ok());
+  CHECK(timeline->conclusion.starts_with("answered with 200 by s-1"));
+  CHECK(timeline->conclusion.find("it may have been broken off") != std::string::npos);
+}
+
 TEST_CASE("the conclusion of a refused request states the reason") {
   const auto timeline = ReadLogs("c3").Timeline();
   REQUIRE(timeline.ok());
