Keep errors in response to a resumption out of the caller's stream

A stream that had begun broke off, the next backend server answered with 400, 404, 302 or 204: BufferResponse returned kCompleted, the request counted as answered, and the connection went on with the next request's head inside the unfinished chunked body. A 200 of another media type was relayed as the stream's next part.

Change: only a success with the status of the stream that has begun, and of type text/event-stream or none, continues it. All else is an interruption: logged as `not_resumed`, then resumed elsewhere if the route and the budget allow it, or broken off.

--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -100,6 +100,9 @@
   asio::awaitable<AttemptResult> AttemptOnConnection(BackendPool::Connection connection,
                                                      BackendServer server);
   asio::awaitable<AttemptResult> ReceiveResponse(BackendCall& call, const BackendServer& server);
+  /// True if the response starts the caller's stream or may continue it. An error, or a body of
+  /// another type, has no place in it.
+  [[nodiscard]] bool MayFollowStream(const ResponseHead& head) const;
   asio::awaitable<AttemptResult> RelayStream(BackendCall& call, const BackendServer& server);
   asio::awaitable<AttemptResult> BufferResponse(BackendCall& call, const BackendServer& server);
   asio::awaitable<bool> WriteEvents(BackendCall& call, std::string_view bytes);
@@ -187,6 +190,8 @@
   int attempts_ = 0;
   bool response_begun_ = false;
   bool stream_begun_ = false;
+  /// Status of the stream that the caller receives; set when it begins.
+  unsigned stream_status_ = 0;
   /// Reads of the running attempt that ended whole events.
   int event_reads_ = 0;
   Time sent_at_{};
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -1,4 +1,5 @@
 // A single attempt: connection, request, response. Retries are decided in exchange.cc.
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -28,6 +29,14 @@
 
 std::string_view ToStdView(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
+/// True unless the response states another media type.
+bool IsEventStream(const ResponseHead& head) {
+  constexpr absl::string_view kEventStream = "text/event-stream";
+  const std::string type(ToStdView(head[boost::beast::http::field::content_type]));
+  return type.empty() ||
+         absl::EqualsIgnoreCase(type.substr(0, type.find_first_of("; \t")), kEventStream);
+}
+
 }  // namespace
 
 std::string Exchange::SerializeRequest(const BackendServer& server) const {
@@ -173,12 +182,16 @@
     co_return ResponseInterrupted(absl::DataLossError("success response without a signature"),
                                   server);
   }
-  if (streaming() && success) {
+  if (streaming() && success && MayFollowStream(call.head())) {
     co_return co_await RelayStream(call, server);
   }
   co_return co_await BufferResponse(call, server);
 }
 
+bool Exchange::MayFollowStream(const ResponseHead& head) const {
+  return !stream_begun_ || (head.result_int() == stream_status_ && IsEventStream(head));
+}
+
 void Exchange::RecordBreak(const BackendServer& server) {
   context_.crash_detector.OnConnectionBroken(server.id,
                                              {.digest = digest_,
@@ -273,6 +286,7 @@
   }
   if (!stream_begun_) {
     stream_begun_ = true;
+    stream_status_ = call.head().result_int();
     BodyFraming framing = call.framing();
     if (framing.kind == BodyFraming::Kind::kLength && accepted_.route->resumable) {
       // The length may change if the stream resumes on another backend server.
@@ -393,6 +407,14 @@
   if (failed || !unframed) {
     context_.health.RecordResponse(server.id, failed, Now());
   }
+  if (stream_begun_) {
+    context_.log.Write(Severity::kFailure, "not_resumed",
+                       {{"request", accepted_.request.id},
+                        {"server", server.name},
+                        {"status", status},
+                        {"last_event", events_.last_id()}});
+    co_return AttemptResult::kInterrupted;
+  }
   buffered_response_ =
       BufferedResponse{.head = call.head(), .framing = framing, .body = *std::move(body)};
   co_return failed ? AttemptResult::kServerFailed : AttemptResult::kCompleted;
--- a/tests/end_to_end/backend_faults_test.cc
+++ b/tests/end_to_end/backend_faults_test.cc
@@ -122,6 +122,57 @@
   CHECK(requests == 2);
 }
 
+TEST_CASE("an error in response to a resumption never gets into the stream or ends it") {
+  const std::vector<std::string> errors{
+      "HTTP/1.1 404 Not Found\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s\r\nContent-Length: "
+      "5\r\n\r\ngone\n",
+      "HTTP/1.1 400 Bad Request\r\nX-Attempt-Id: ID\r\nContent-Length: 4\r\n\r\nbad\n",
+      "HTTP/1.1 500 Error\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 503 Full\r\nX-Attempt-Id: ID\r\nX-Not-Run: 1\r\nKeep-Alive: "
+      "timeout=20\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nX-Attempt-Id: ID\r\nX-Server-Seal: s\r\n\r\n",
+      "HTTP/1.1 302 Found\r\nX-Attempt-Id: ID\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+      ResponseHeadOf("ID", "Content-Type: application/json\r\nContent-Length: 14") +
+          "{\"error\":\"no\"}",
+      ResponseHeadOf("ID", "Content-Type: text/plain\r\nConnection: close") + "error\n\n"};
+  for (const std::string& error : errors) {
+    CAPTURE(error);
+    std::atomic<int> attempts = 0;
+    std::atomic<bool> recovers = false;
+    ScriptedFixture fixture(
+        "model",
+        [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+          const int attempt = attempts++;
+          std::string text =
+              ResponseHeadOf(id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked");
+          if (attempt == 0) {
+            text.append(ChunkOf(EventOf(1)));
+          } else if (attempt == 1 || !recovers) {
+            text = WithId(error, id);
+          } else {
+            text.append(ChunkOf(EventOf(2) + EventOf(3) + EventOf(4)) + "0\r\n\r\n");
+          }
+          (void)co_await connection.Write(std::move(text));
+        },
+        3);
+    fixture.world.AddServer("d-1", "desk");
+    REQUIRE(PlatformWorld::Await([&] { return fixture.LogContains("d-1"); }));
+    // A second request follows on the connection, whose response must not get into the stream.
+    const std::string received =
+        testing::ReceiveAll(PlatformWorld::CallerAddress(1),
+                            testing::RequestOf("POST", "/plan/1", "o1", kPromptFields, "body") +
+                                testing::RequestOf("GET", "/look/1", "o2"));
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(received.ends_with(ChunkOf(EventOf(1))));
+    attempts = 0;
+    recovers = true;
+    const auto response = Caller(PlatformWorld::CallerAddress(1))
+                              .Send("POST", "/plan/1", "o3", kPromptFields, "body");
+    CHECK(response.complete);
+    CHECK(response.body == kExpectedStream);
+  }
+}
+
 TEST_CASE("a response that breaks off never looks complete, whatever its framing") {
   const std::string half = "id: 1\ndata: event 1\n\nid: 2\nda";
   const std::vector<std::pair<std::string, bool>> endings{
