Break off streams that end inside an event, also with framing

The gateway did so without framing only; with a last chunk or a length, the half event was passed on and the response ended as complete.

Now the end inside an event is an interruption whatever the framing: a resumable stream goes on elsewhere after its last whole event, others are broken off. Line ends after the last event are no event, and lines may end with a carriage return, so that such streams aren't broken off. A success of another media type on a streaming route is a plain response.

Before: "a framed stream that ends inside an event is broken off, or resumed elsewhere" failed (complete, ending in "data: ev"); after: passes, as do all other test programs.

--- a/packages/gateway/src/event_splitter.cc
+++ b/packages/gateway/src/event_splitter.cc
@@ -1,5 +1,7 @@
 #include "event_splitter.h"
 
+#include <algorithm>
+#include <initializer_list>
 #include <utility>
 
 namespace lagoonwind::gateway {
@@ -7,15 +9,20 @@
 
 constexpr std::string_view kLfSeparator = "\n\n";
 constexpr std::string_view kCrlfSeparator = "\r\n\r\n";
+constexpr std::string_view kCrSeparator = "\r\r";
+constexpr std::string_view kLineEnds = "\r\n";
 constexpr std::string_view kIdField = "id:";
 
 /// Position after the last event separator in `text`; 0 if there is none.
 std::size_t LastEventEnd(std::string_view text) {
-  const std::size_t lf = text.rfind(kLfSeparator);
-  const std::size_t crlf = text.rfind(kCrlfSeparator);
-  const std::size_t after_lf = lf == std::string_view::npos ? 0 : lf + kLfSeparator.size();
-  const std::size_t after_crlf = crlf == std::string_view::npos ? 0 : crlf + kCrlfSeparator.size();
-  return std::max(after_lf, after_crlf);
+  std::size_t end = 0;
+  for (const std::string_view separator : {kLfSeparator, kCrlfSeparator, kCrSeparator}) {
+    const std::size_t at = text.rfind(separator);
+    if (at != std::string_view::npos) {
+      end = std::max(end, at + separator.size());
+    }
+  }
+  return end;
 }
 
 std::string_view Trim(std::string_view text) {
@@ -42,16 +49,22 @@
   return events;
 }
 
+bool EventSplitter::inside_event() const {
+  return pending_.find_first_not_of(kLineEnds) != std::string::npos;
+}
+
 void EventSplitter::UpdateLastId(std::string_view events) {
   // The last `id` field determines the last event id.
   std::size_t position = events.rfind(kIdField);
-  while (position != std::string_view::npos && position > 0 && events[position - 1] != '\n') {
+  while (position != std::string_view::npos && position > 0 &&
+         kLineEnds.find(events[position - 1]) == std::string_view::npos) {
     position = events.rfind(kIdField, position - 1);
   }
   if (position == std::string_view::npos) {
     return;
   }
-  const std::string_view line = events.substr(position, events.find('\n', position) - position);
+  const std::string_view line =
+      events.substr(position, events.find_first_of(kLineEnds, position) - position);
   last_id_ = std::string(Trim(line.substr(kIdField.size())));
 }
 
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -13,6 +13,8 @@
   std::string Append(std::string_view bytes);
   /// Bytes after the last complete event.
   [[nodiscard]] std::string_view remainder() const { return pending_; }
+  /// True if the stream has been broken off, if it ends here: its last event is not complete.
+  [[nodiscard]] bool inside_event() const;
   /// Discards the incomplete event, because the stream will resume on another connection.
   void DiscardRemainder() { pending_.clear(); }
   /// Id of the last complete event that had one; empty if none did.
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -100,9 +100,10 @@
   asio::awaitable<AttemptResult> AttemptOnConnection(BackendPool::Connection connection,
                                                      BackendServer server);
   asio::awaitable<AttemptResult> ReceiveResponse(BackendCall& call, const BackendServer& server);
-  /// True if the response starts the caller's stream or may continue it. An error, or a body of
-  /// another type, has no place in it.
-  [[nodiscard]] bool MayFollowStream(const ResponseHead& head) const;
+  /// True if a stream with this status starts the caller's response or may continue it.
+  [[nodiscard]] bool MayFollowStream(unsigned status) const {
+    return !stream_begun_ || status == stream_status_;
+  }
   asio::awaitable<AttemptResult> RelayStream(BackendCall& call, const BackendServer& server);
   asio::awaitable<AttemptResult> BufferResponse(BackendCall& call, const BackendServer& server);
   asio::awaitable<bool> WriteEvents(BackendCall& call, std::string_view bytes);
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -182,16 +182,12 @@
     co_return ResponseInterrupted(absl::DataLossError("success response without a signature"),
                                   server);
   }
-  if (streaming() && success && MayFollowStream(call.head())) {
+  if (streaming() && success && IsEventStream(call.head()) && MayFollowStream(status)) {
     co_return co_await RelayStream(call, server);
   }
   co_return co_await BufferResponse(call, server);
 }
 
-bool Exchange::MayFollowStream(const ResponseHead& head) const {
-  return !stream_begun_ || (head.result_int() == stream_status_ && IsEventStream(head));
-}
-
 void Exchange::RecordBreak(const BackendServer& server) {
   context_.crash_detector.OnConnectionBroken(server.id,
                                              {.digest = digest_,
@@ -313,9 +309,10 @@
     bytes += *count;
     std::string complete_events;
     if (at_body_end) {
-      if (ends_with_connection && (!events_.remainder().empty() || event_reads_ == 0)) {
+      const bool has_no_end = ends_with_connection && event_reads_ == 0;
+      if (events_.inside_event() || has_no_end) {
         const AttemptResult result = ResponseInterrupted(
-            absl::DataLossError("the connection ended within or before an event"), server);
+            absl::DataLossError("the response ended within or before an event"), server);
         events_.DiscardRemainder();
         co_return result;
       }
--- a/tests/end_to_end/unframed_response_test.cc
+++ b/tests/end_to_end/unframed_response_test.cc
@@ -153,6 +153,21 @@
   CHECK_FALSE((response.status == 200 && response.complete));
 }
 
+TEST_CASE("a framed stream that ends inside an event is broken off, or resumed elsewhere") {
+  const std::string half_event = EventOf(1) + "id: 2\ndata: ev";
+  const std::string framing = "Content-Length: " + std::to_string(half_event.size());
+  ScriptedFixture fixture(
+      "model",
+      Attempts({Sends(kChunked, ChunkOf(half_event) + kLastChunk), Sends(framing, half_event),
+                Sends(framing, half_event), Sends(kChunked, ChunkOf(EventOf(2)) + kLastChunk)}),
+      2);
+  CHECK_FALSE(Stream("/chat/1", "g1").complete);
+  CHECK_FALSE(Stream("/chat/1", "g2").complete);
+  const auto resumed = Stream("/plan/1", "g3");
+  CHECK(resumed.complete);
+  CHECK(resumed.body == EventOf(1) + EventOf(2));
+}
+
 TEST_CASE("the end of the gateway does not look like the end of a response without framing") {
   ScriptedFixture fixture("model",
                           [](RawConnection& connection, std::string id) -> asio::awaitable<void> {
--- a/tests/unit/gateway_parts_test.cc
+++ b/tests/unit/gateway_parts_test.cc
@@ -186,6 +186,27 @@
   }
 }
 
+TEST_CASE("a stream ends inside an event unless the last one is complete") {
+  EventSplitter splitter;
+  CHECK_FALSE(splitter.inside_event());
+  splitter.Append("id: 1\ndata: a\n");
+  CHECK(splitter.inside_event());
+  splitter.Append("\n");
+  CHECK_FALSE(splitter.inside_event());
+  // Line ends after the last event belong to none.
+  splitter.Append("\r\n");
+  CHECK_FALSE(splitter.inside_event());
+  splitter.Append(": comment");
+  CHECK(splitter.inside_event());
+}
+
+TEST_CASE("lines of a stream may end with a carriage return") {
+  EventSplitter splitter;
+  CHECK(splitter.Append("id: 1\rdata: a\r\rid: 2\rda") == "id: 1\rdata: a\r\r");
+  CHECK(splitter.last_id() == "1");
+  CHECK(splitter.inside_event());
+}
+
 TEST_CASE("a report keeps the evidence about segments that crash engines") {
   wire::GatewayReport report;
   report.crash_victims.push_back({.server = ServerId{~0ULL},
