Entry: end a stream only if it is complete

Cause: `co_return complete && co_await WriteLastChunk()`. GCC 12 evaluates a co_await that is the right operand of && or || in a co_return statement whatever the left operand is; a program of 20 lines shows it at -O0, -O1 and -O2. In an `if` condition the same program crashes.

Ruled out: the policy (outcome unknown in the log), the link between entry and agent (End with result unknown).

Change: each co_await in a statement of its own, at the two places in the entry, one in the agent and one in the gateway's writer; lint.sh refuses the pattern in all files.

--- a/packages/gateway/src/caller_writer.cc
+++ b/packages/gateway/src/caller_writer.cc
@@ -109,11 +109,16 @@
 
 asio::awaitable<bool> CallerWriter::EndResponse() {
   out_.append(framing_ == BodyFraming::Kind::kChunked ? kLastChunk : "");
-  const bool written = out_.empty() || co_await Flush();
-  if (written && !framed()) {
+  if (!out_.empty()) {
+    const bool written = co_await Flush();
+    if (!written) {
+      co_return false;
+    }
+  }
+  if (!framed()) {
     SetResetOnClose(false);
   }
-  co_return written;
+  co_return true;
 }
 
 }  // namespace lagoonwind::gateway
--- a/packages/runtime/src/attempt_execution.cc
+++ b/packages/runtime/src/attempt_execution.cc
@@ -100,8 +100,9 @@
            ToMicroseconds(elapsed));
   }
   policy::Reason reason = ReasonOf(result);
-  if (result == CallResult::kUnknown && co_await HasCrashed(backend, backend_incarnation)) {
-    reason = policy::Reason::kBackendCrashed;
+  if (result == CallResult::kUnknown) {
+    const bool crashed = co_await HasCrashed(backend, backend_incarnation);
+    reason = crashed ? policy::Reason::kBackendCrashed : reason;
   }
   Finish(result, reason);
 }
--- a/packages/runtime/src/caller_server.cc
+++ b/packages/runtime/src/caller_server.cc
@@ -281,7 +281,10 @@
       const auto end = std::get<ResponseEnd>(part);
       RecordOutcome(request, end);
       if (end.outcome != Outcome::kComplete) {
-        co_return end.reason != Reason::kCallerLeft&& co_await WriteProblem(ProblemFor(end));
+        if (end.reason == Reason::kCallerLeft) {
+          co_return false;
+        }
+        co_return co_await WriteProblem(ProblemFor(end));
       }
       bhttp::response<bhttp::string_body> response{bhttp::int_to_status(head.status), kHttp11};
       SetCommonFields(response, head.content_type);
@@ -306,7 +309,10 @@
       ResponsePart part = co_await request.NextPart();
       if (const auto* end = std::get_if<ResponseEnd>(&part)) {
         RecordOutcome(request, *end);
-        co_return end->outcome == Outcome::kComplete&& co_await WriteLastChunk();
+        if (end->outcome != Outcome::kComplete) {
+          co_return false;
+        }
+        co_return co_await WriteLastChunk();
       }
       const auto& data = std::get<std::string>(part);
       stream_.expires_after(limits::kCallerWriteTimeout);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,6 +10,11 @@
   mapfile -t files < <(git ls-files '*.h' '*.cc' | grep -v '/gen/')
 fi
 clang-format --dry-run --Werror "${files[@]}" || { echo "lint: run clang-format -i on the files above" >&2; exit 1; }
+# GCC 12 evaluates the right operand whatever the left one is.
+if grep -nE '(&&|\|\|)[[:space:]]*!?co_await' "${files[@]}"; then
+  echo "lint: co_await as the right operand of && or ||; await in a statement of its own" >&2
+  exit 1
+fi
 # Clang 14 supports coroutines, but does not define the macros that libstdc++ 12 and Boost 1.74 test.
 export COROUTINES="--extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-Wno-unknown-warning-option"
 export CACHE=${LAGOONWIND_LINT_CACHE:-.cache/lint}
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -83,7 +83,9 @@
   std::filesystem::create_directories(options_.work);
   platform_address_ = StartStandIn("platform", "platform", {});
   for (const auto& backend : options_.backends) {
-    backend_addresses_[backend.name] = StartStandIn(backend.name, backend.kind, backend.options);
+    backend_addresses_[backend.name] =
+        backend.address.empty() ? StartStandIn(backend.name, backend.kind, backend.options)
+                                : backend.address;
   }
   int number = 0;
   for (const auto& backend : options_.backends) {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -27,6 +27,8 @@
   std::string zone;
   /// Additional command-line options for the stand-in.
   std::vector<std::string> options;
+  /// `IP:PORT` of a backend server that the test runs itself; if empty, a stand-in is started.
+  std::string address;
 };
 
 struct EntrySpec {
