Entry: don't claim that responses without framing are complete

Callers of an entry got a Content-Length or a last chunk and `Lagoonwind-Outcome: complete`, and a call with an idempotency key was stored as complete and given to the key again.

Change: such a response is complete only if its own content shows the end (an engine's last event, `data: [DONE]`). Else its outcome is unknown, reason `unframed-end`: a plain response is passed on without a length and with the outcome `unknown`, a stream is broken off, nothing is stored for the key. If the backend server is found to have crashed, the reason is that, as before.

Before: entry_responses_test with the commit before this one fails in the two cases of responses without framing and without a last event. A sound caller of a service that never sends a length keeps its answers and pays a connection for each; it can no longer tell that they are whole, as nobody can.

--- a/packages/backend/include/lagoonwind/backend.h
+++ b/packages/backend/include/lagoonwind/backend.h
@@ -47,6 +47,9 @@
   kNotRun,
   /// The connection to the backend server could not be established; nothing was sent.
   kConnectFailed,
+  /// A response was received that had neither a length nor chunks, and nothing in it shows that it
+  /// is complete: the end of its connection may be that of the backend server.
+  kUnframed,
   /// The request may have been executed; its response is missing or incomplete.
   kUnknown,
   /// The request may have been executed; its response did not begin or continue in time.
--- a/packages/backend/src/http_backend.cc
+++ b/packages/backend/src/http_backend.cc
@@ -43,13 +43,15 @@
 
 std::string ToString(beast::string_view view) { return {view.data(), view.size()}; }
 
-/// Counts the generated tokens of a response that arrives in chunks.
+/// Counts the generated tokens of a response that arrives in chunks, and detects its end.
 class TokenCounter {
  public:
   virtual ~TokenCounter() = default;
   /// \param data  Next bytes of the body.
   /// \return Number of tokens completed by these bytes.
   virtual std::uint32_t Count(std::string_view data) = 0;
+  /// True if the data itself shows that the response is complete.
+  [[nodiscard]] virtual bool at_end() const { return false; }
 };
 
 /// Used for plain services, whose responses have no tokens.
@@ -69,12 +71,17 @@
       last_ = c;
     }
     const bool done = data.find(kDoneEvent) != std::string_view::npos;
+    tail_.append(data);
+    tail_.erase(0, tail_.size() - std::min(tail_.size(), kLastEvent.size()));
     return done && events > 0 ? events - 1 : events;
   }
+  [[nodiscard]] bool at_end() const override { return tail_ == kLastEvent; }
 
  private:
   static constexpr std::string_view kDoneEvent = "data: [DONE]";
+  static constexpr std::string_view kLastEvent = "data: [DONE]\n\n";
   char last_ = '\0';
+  std::string tail_;
 };
 
 /// Reads the number of tokens from the usage field near the end of a response that is not streamed.
@@ -293,7 +300,8 @@
         co_return CallResult::kCancelled;
       }
     }
-    co_return CallResult::kComplete;
+    const bool is_complete = !parser.need_eof() || counter->at_end();
+    co_return is_complete ? CallResult::kComplete : CallResult::kUnframed;
   }
 
   BackendKind kind_;
--- a/packages/policy/include/lagoonwind/policy_types.h
+++ b/packages/policy/include/lagoonwind/policy_types.h
@@ -49,6 +49,8 @@
   kKeyExpired,
   /// The process can reach neither the log nor any member of another availability zone.
   kCutOff,
+  /// Only the end of the backend server's connection showed the end of its response.
+  kUnframedEnd,
 };
 
 /// Name of an outcome, a reason or a role in responses, logs and metric labels. Thread safe.
--- a/packages/policy/src/names.cc
+++ b/packages/policy/src/names.cc
@@ -62,6 +62,8 @@
       return "key-expired";
     case Reason::kCutOff:
       return "cut-off";
+    case Reason::kUnframedEnd:
+      return "unframed-end";
   }
   return "none";
 }
--- a/packages/runtime/src/attempt_execution.cc
+++ b/packages/runtime/src/attempt_execution.cc
@@ -31,6 +31,7 @@
     case CallResult::kNotRun:
     case CallResult::kConnectFailed:
       return policy::AttemptResult::kNotRun;
+    case CallResult::kUnframed:
     case CallResult::kUnknown:
     case CallResult::kTimedOut:
     case CallResult::kCancelled:
@@ -45,6 +46,8 @@
       return policy::Reason::kNone;
     case CallResult::kNotRun:
       return policy::Reason::kBackendRefused;
+    case CallResult::kUnframed:
+      return policy::Reason::kUnframedEnd;
     case CallResult::kConnectFailed:
     case CallResult::kUnknown:
       return policy::Reason::kBackendFailed;
@@ -100,7 +103,7 @@
            ToMicroseconds(elapsed));
   }
   policy::Reason reason = ReasonOf(result);
-  if (result == CallResult::kUnknown) {
+  if (result == CallResult::kUnknown || result == CallResult::kUnframed) {
     const bool crashed = co_await HasCrashed(backend, backend_incarnation);
     reason = crashed ? policy::Reason::kBackendCrashed : reason;
   }
--- a/packages/runtime/src/caller_server.cc
+++ b/packages/runtime/src/caller_server.cc
@@ -280,21 +280,35 @@
       }
       const auto end = std::get<ResponseEnd>(part);
       RecordOutcome(request, end);
-      if (end.outcome != Outcome::kComplete) {
+      const bool unframed = end.reason == Reason::kUnframedEnd;
+      if (end.outcome != Outcome::kComplete && !unframed) {
         if (end.reason == Reason::kCallerLeft) {
           co_return false;
         }
         co_return co_await WriteProblem(ProblemFor(end));
       }
+      // Without a length, as the backend server sent it: the caller must not know more.
+      keep_alive_ = keep_alive_ && !unframed;
       bhttp::response<bhttp::string_body> response{bhttp::int_to_status(head.status), kHttp11};
       SetCommonFields(response, head.content_type);
-      SetField(response, kOutcomeField, policy::Name(Outcome::kComplete));
+      SetField(response, kOutcomeField, policy::Name(end.outcome));
       response.body() = std::move(body);
-      response.prepare_payload();
-      co_return co_await Write(response);
+      if (!unframed) {
+        response.prepare_payload();
+      }
+      SetResetOnClose(unframed);
+      const bool open = co_await Write(response);
+      SetResetOnClose(false);
+      co_return open;
     }
   }
 
+  /// Sets whether closing the connection resets it, which breaks off a response without framing.
+  void SetResetOnClose(bool reset) {
+    ErrorCode ignored;
+    stream_.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+  }
+
   /// Forwards a response as it arrives and sends its outcome in a trailer field.
   asio::awaitable<bool> WriteStreamedResponse(CallerRequest& request, ResponseHead head) {
     bhttp::response<bhttp::empty_body> response{bhttp::int_to_status(head.status), kHttp11};
--- a/packages/runtime/src/entry_daemon.cc
+++ b/packages/runtime/src/entry_daemon.cc
@@ -150,16 +150,16 @@
   void OnEnd(MemberId from, const wire::gen::End& end) {
     const AttemptId attempt = wire::FromWire(end.attempt);
     policy::AttemptResult result = wire::ResultFromWire(end.result);
+    policy::Reason reason = wire::ReasonFromWire(end.reason);
     const auto request = requests_.Find(attempt.request);
     const auto length = static_cast<std::uint64_t>(end.length);
-    if (result == policy::AttemptResult::kComplete &&
-        (request == nullptr || !request->IsComplete(attempt.attempt, length))) {
-      result = policy::AttemptResult::kUnknown;
+    if (request == nullptr || !request->IsComplete(attempt.attempt, length)) {
+      result =
+          result == policy::AttemptResult::kComplete ? policy::AttemptResult::kUnknown : result;
+      reason = reason == policy::Reason::kUnframedEnd ? policy::Reason::kLinkLost : reason;
     }
-    context_.policy.Post(policy::AttemptEnded{.agent = from,
-                                              .attempt = attempt,
-                                              .result = result,
-                                              .reason = wire::ReasonFromWire(end.reason)});
+    context_.policy.Post(policy::AttemptEnded{
+        .agent = from, .attempt = attempt, .result = result, .reason = reason});
   }
 
   void OnGrant(MemberId from, const wire::gen::Grant& grant) {
--- a/packages/wire/src/wire.cc
+++ b/packages/wire/src/wire.cc
@@ -158,7 +158,7 @@
 }
 
 policy::Reason ReasonFromWire(std::int32_t value) {
-  const bool known = value >= 0 && value <= static_cast<std::int32_t>(policy::Reason::kCutOff);
+  const bool known = value >= 0 && value <= static_cast<std::int32_t>(policy::Reason::kUnframedEnd);
   return known ? static_cast<policy::Reason>(value) : policy::Reason::kNone;
 }
 
--- a/tests/end_to_end/entry_responses_test.cc
+++ b/tests/end_to_end/entry_responses_test.cc
@@ -113,6 +113,30 @@
   fleet.AwaitReady();
   const std::string entry = fleet.entry_addresses().front();
 
+  SUBCASE("a plain response without framing is passed on as such, with an unknown outcome") {
+    const auto response =
+        FetchNow(entry, CompletionRequest("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                                          "Connection: close\r\n\r\n{\"id\": 1",
+                                          false));
+    REQUIRE(response.ok());
+    CHECK(response->status == 200);
+    CHECK(response->body == "{\"id\": 1");
+    CHECK(http::FindField(response->fields, "Lagoonwind-Outcome") == "unknown");
+    CHECK(http::FindField(response->fields, "Content-Length").empty());
+    CHECK(http::FindField(response->fields, "Transfer-Encoding").empty());
+  }
+  SUBCASE("a stream with neither framing nor its last event is broken off") {
+    const auto response =
+        FetchNow(entry, CompletionRequest(absl::StrCat(kStreamHead, "\r\ndata: {}\n\n"), true));
+    CHECK_FALSE(response.ok());
+  }
+  SUBCASE("a stream without framing is complete with its last event") {
+    const std::string events = "data: {}\n\ndata: [DONE]\n\n";
+    const auto response =
+        FetchNow(entry, CompletionRequest(absl::StrCat(kStreamHead, "\r\n", events), true));
+    REQUIRE(response.ok());
+    CHECK(response->body == events);
+  }
   SUBCASE("a stream without its last chunk is broken off") {
     const auto response = FetchNow(
         entry, CompletionRequest(
