Break off streams without framing whose engine breaks other connections

An engine that crashes ends all of its connections at once, mostly in order.

Change: 5 ms after such an end (the stream's bytes are with the caller by then) the gateway looks whether another connection to the backend server broke in the middle of a response within 10 ms. If so the stream is an interruption: resumed elsewhere, or reset. Ends that may have been complete are no evidence for others, so that one break doesn't lead to the next. Plain responses are left out: they are small, and their breaks are mostly single ones.

If the guess is wrong a sound stream is reset after its last event; without the guess a broken one looks complete. Framed responses aren't touched.

--- a/packages/gateway/src/crash_detector.cc
+++ b/packages/gateway/src/crash_detector.cc
@@ -20,6 +20,12 @@
   broken_connections_.push_back({.server = server, .request = std::move(request), .at = now});
 }
 
+bool CrashDetector::BrokeWithin(policy::ServerId server, Duration window, Time now) const {
+  return std::ranges::any_of(broken_connections_, [&](const BrokenConnection& broken) {
+    return broken.server == server && !broken.request.ended_in_order && now - broken.at <= window;
+  });
+}
+
 void CrashDetector::ReportSuspects(policy::ServerId server, Duration window, Time now) {
   const auto matches = [&](const BrokenConnection& broken) {
     return broken.server == server && now - broken.at <= window;
--- a/packages/gateway/src/crash_detector.h
+++ b/packages/gateway/src/crash_detector.h
@@ -17,6 +17,8 @@
   Time sent_at;
   /// True if the backend server had begun to respond.
   bool responded = false;
+  /// True if the response may have been complete, as it ended with its connection.
+  bool ended_in_order = false;
 };
 
 /// Distinguishes crashes of backend servers from single broken connections: a crash is assumed if
@@ -30,6 +32,9 @@
 
   /// The connection broke while the backend server processed the request.
   void OnConnectionBroken(policy::ServerId server, BrokenRequest request, Time now);
+  /// True if a connection to the backend server broke at most `window` ago, in the middle of a
+  /// response for certain.
+  [[nodiscard]] bool BrokeWithin(policy::ServerId server, Duration window, Time now) const;
   /// The backend server refused a connection.
   void OnConnectionRefused(policy::ServerId server, Time now);
   /// The backend server's record was removed or shows a later start.
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -139,6 +139,9 @@
   /// \param bytes  Length of the body that the backend server sent.
   asio::awaitable<AttemptResult> EndStream(BackendCall& call, const BackendServer& server,
                                            std::size_t bytes);
+  /// Waits until the other connections to the backend server have broken if it has crashed.
+  /// \return True if one of them broke at about this time.
+  asio::awaitable<bool> EndsInCrash(const BackendServer& server);
   /// Records that only the end of the connection showed the end of the response, so that it may
   /// have been broken off.
   /// \param bytes  Length of the body that the backend server sent.
@@ -195,6 +198,8 @@
   unsigned stream_status_ = 0;
   /// Reads of the running attempt that ended whole events.
   int event_reads_ = 0;
+  /// True if the response of the running attempt ended with its connection.
+  bool ended_in_order_ = false;
   Time sent_at_{};
   Time first_byte_at_{};
   std::string last_server_;
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/use_awaitable.hpp>
 #include <string_view>
 
 #include "clock.h"
@@ -24,6 +25,9 @@
 constexpr std::size_t kReadBufferBytes = 16UL << 10U;
 /// Reads with whole events that show that the backend server responds without crashing.
 constexpr int kEventReadsOfResponse = 2;
+/// Time after the end of a connection until which other connections to the backend server break if
+/// it has crashed.
+constexpr Duration kCrashSpread = std::chrono::milliseconds(5);
 /// Largest event of a stream that is buffered until it is complete.
 constexpr std::size_t kMaxEventBytes = 256UL << 10U;
 
@@ -128,6 +132,7 @@
   sent_at_ = Now();
   response_begun_ = false;
   event_reads_ = 0;
+  ended_in_order_ = false;
   last_framing_ = BodyFraming::Kind::kNone;
   ++unresolved_attempts_;
   call.StartWrite(SerializeRequest(server));
@@ -193,7 +198,8 @@
                                              {.digest = digest_,
                                               .segments = shared_segments_,
                                               .sent_at = sent_at_,
-                                              .responded = event_reads_ >= kEventReadsOfResponse},
+                                              .responded = event_reads_ >= kEventReadsOfResponse,
+                                              .ended_in_order = ended_in_order_},
                                              Now());
   context_.ProbeAfterBreak(server);
 }
@@ -235,8 +241,15 @@
   return stream_begun_ ? AttemptResult::kInterrupted : AttemptResult::kUnknown;
 }
 
+asio::awaitable<bool> Exchange::EndsInCrash(const BackendServer& server) {
+  asio::steady_timer timer(context_.io, kCrashSpread);
+  co_await timer.async_wait(asio::use_awaitable);
+  co_return context_.crash_detector.BrokeWithin(server.id, 2 * kCrashSpread, Now());
+}
+
 void Exchange::RecordUnframedEnd(const BackendServer& server, std::size_t bytes) {
   const Time now = Now();
+  ended_in_order_ = true;
   context_.health.RecordUnframedEnd(server.id);
   context_.log.Write(Severity::kRoutine, "unframed_end",
                      {{"request", accepted_.request.id},
@@ -360,6 +373,11 @@
                                                              std::size_t bytes) {
   if (call.framing().kind == BodyFraming::Kind::kUntilClose) {
     RecordUnframedEnd(server, bytes);
+    if (co_await EndsInCrash(server)) {
+      co_return ResponseInterrupted(
+          absl::DataLossError("the connection ended while others to the backend server broke"),
+          server);
+    }
     if (event_reads_ < kEventReadsOfResponse) {
       // A crash of the backend server may end the connection in the same way.
       RecordBreak(server);
--- a/tests/end_to_end/unframed_response_test.cc
+++ b/tests/end_to_end/unframed_response_test.cc
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -168,6 +169,27 @@
   CHECK(resumed.body == EventOf(1) + EventOf(2));
 }
 
+TEST_CASE("a response without framing is broken off if other connections to its engine break") {
+  std::atomic<int> arrived = 0;
+  ScriptedFixture fixture(
+      "model", [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+        const bool unframed = id == "j1";
+        std::string response = ResponseHeadOf(id, unframed ? kUnframed : kChunked);
+        response.append(unframed ? EventOf(1) + EventOf(2) : ChunkOf(EventOf(1)));
+        (void)co_await connection.Write(std::move(response));
+        ++arrived;
+        while (arrived < 2) {
+          co_await connection.Wait(milliseconds(1));
+        }
+        co_await connection.Wait(milliseconds(20));
+      });
+  Caller::Response unframed;
+  std::jthread first([&] { unframed = Stream("/chat/1", "j1"); });
+  CHECK_FALSE(Stream("/chat/1", "j2").complete);
+  first.join();
+  CHECK_FALSE(unframed.complete);
+}
+
 TEST_CASE("the end of the gateway does not look like the end of a response without framing") {
   ScriptedFixture fixture("model",
                           [](RawConnection& connection, std::string id) -> asio::awaitable<void> {
--- a/tests/unit/gateway_parts_test.cc
+++ b/tests/unit/gateway_parts_test.cc
@@ -186,6 +186,20 @@
   }
 }
 
+TEST_CASE("a response that may be complete is no evidence that connections break") {
+  policy::CrashSuspects suspects;
+  policy::SegmentQuarantine segments;
+  EventLog log("test");
+  CrashDetector detector(suspects, segments, log);
+  const policy::ServerId server{1};
+  detector.OnConnectionBroken(server, {.sent_at = At(0), .ended_in_order = true}, At(10));
+  CHECK_FALSE(detector.BrokeWithin(server, milliseconds(5), At(12)));
+  detector.OnConnectionBroken(server, {.sent_at = At(0)}, At(10));
+  CHECK(detector.BrokeWithin(server, milliseconds(5), At(12)));
+  CHECK_FALSE(detector.BrokeWithin(server, milliseconds(5), At(16)));
+  CHECK_FALSE(detector.BrokeWithin({.value = 2}, milliseconds(5), At(12)));
+}
+
 TEST_CASE("a stream ends inside an event unless the last one is complete") {
   EventSplitter splitter;
   CHECK_FALSE(splitter.inside_event());
