Reset responses without framing also when the process stops in order

Cause: Asio notes that the linger option was set through it, and clears the option when it destroys a socket that was not closed. A kill resets the connection, an ordered stop closed it. The logs tell: `cut_by_stop`, `framing` `close`.

Change: http::SetResetOnClose sets the option on the descriptor, for gateways and entries.

Before: "the end of the gateway does not look like the end of a response without framing", case of the ordered stop, fails with the commit before this one; after: both cases pass.

--- a/packages/gateway/src/caller_writer.cc
+++ b/packages/gateway/src/caller_writer.cc
@@ -10,6 +10,7 @@
 #include <chrono>
 
 #include "hop_by_hop_headers.h"
+#include "lagoonwind/http.h"
 
 namespace lagoonwind::gateway {
 namespace {
@@ -49,17 +50,12 @@
   co_return co_await Flush();
 }
 
-void CallerWriter::SetResetOnClose(bool reset) {
-  boost::system::error_code ignored;
-  socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
-}
-
 void CallerWriter::AppendHead(const ResponseHead& head, BodyFraming framing) {
   framing_ = framing.kind;
   if (!framed()) {
     // A reset is the only way to break off a body that ends with its connection. Set from the
     // beginning, so that an unexpected end of the process resets the connection, too.
-    SetResetOnClose(true);
+    lagoonwind::http::SetResetOnClose(socket_, true);
     CloseAfterResponse();
   }
   absl::StrAppendFormat(&out_, "HTTP/1.1 %d %s\r\n", head.result_int(),
@@ -116,7 +112,7 @@
     }
   }
   if (!framed()) {
-    SetResetOnClose(false);
+    lagoonwind::http::SetResetOnClose(socket_, false);
   }
   co_return true;
 }
--- a/packages/gateway/src/caller_writer.h
+++ b/packages/gateway/src/caller_writer.h
@@ -63,8 +63,6 @@
 
  private:
   void AppendHead(const ResponseHead& head, BodyFraming framing);
-  /// Sets whether closing the connection resets it.
-  void SetResetOnClose(bool reset);
   asio::awaitable<bool> Flush();
 
   asio::ip::tcp::socket& socket_;
--- a/packages/http/include/lagoonwind/http.h
+++ b/packages/http/include/lagoonwind/http.h
@@ -66,6 +66,10 @@
 /// \return Unavailable if the endpoint cannot be bound.
 absl::Status Listen(Tcp::acceptor& acceptor, const Tcp::endpoint& endpoint);
 
+/// Sets whether the connection is reset when the socket is closed, also by the end of the process.
+/// A reset breaks off a response that would otherwise end with its connection.
+void SetResetOnClose(Tcp::socket& socket, bool reset);
+
 /// Returns the first value of a query parameter of `target`, percent-decoded, or an empty string if
 /// the parameter is absent.
 std::string QueryParameter(std::string_view target, std::string_view name);
--- a/packages/http/src/http.cc
+++ b/packages/http/src/http.cc
@@ -254,6 +254,12 @@
                : absl::OkStatus();
 }
 
+void SetResetOnClose(Tcp::socket& socket, bool reset) {
+  // Asio clears a linger option that was set by socket.set_option() when it destroys the socket.
+  const linger option{.l_onoff = reset ? 1 : 0, .l_linger = 0};
+  setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 std::string QueryParameter(std::string_view target, std::string_view name) {
   const auto question = target.find('?');
   if (question == std::string_view::npos) {
--- a/packages/runtime/src/caller_server.cc
+++ b/packages/runtime/src/caller_server.cc
@@ -296,19 +296,13 @@
       if (!unframed) {
         response.prepare_payload();
       }
-      SetResetOnClose(unframed);
+      http::SetResetOnClose(stream_.socket(), unframed);
       const bool open = co_await Write(response);
-      SetResetOnClose(false);
+      http::SetResetOnClose(stream_.socket(), false);
       co_return open;
     }
   }
 
-  /// Sets whether closing the connection resets it, which breaks off a response without framing.
-  void SetResetOnClose(bool reset) {
-    ErrorCode ignored;
-    stream_.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
-  }
-
   /// Forwards a response as it arrives and sends its outcome in a trailer field.
   asio::awaitable<bool> WriteStreamedResponse(CallerRequest& request, ResponseHead head) {
     bhttp::response<bhttp::empty_body> response{bhttp::int_to_status(head.status), kHttp11};
--- a/tests/end_to_end/unframed_response_test.cc
+++ b/tests/end_to_end/unframed_response_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <string>
@@ -204,7 +205,8 @@
   asio::write(socket, asio::buffer(request));
   std::string received;
   asio::read_until(socket, asio::dynamic_buffer(received), EventOf(1));
-  fixture.gateway->Kill();
+  SUBCASE("when it is killed") { fixture.gateway->Kill(); }
+  SUBCASE("when it stops in order while the response goes on") { fixture.gateway->Signal(SIGTERM); }
   boost::system::error_code error;
   asio::read(socket, asio::dynamic_buffer(received), error);
   CHECK(error == asio::error::connection_reset);
