Soak: responses without framing, streams that end inside an event

Backend servers of the soak now also respond with neither a length nor chunks, whole or closed in order midway, end streams with a last chunk inside an event, and refuse to resume streams. The steps are drawn apart from the others, so that those stay as they are for each seed. Seeds with planned work only have whole responses without framing, which is no fault.

Checks: a response without framing must be all that its backend server sent and end in order only then; a framed one must stay framed.

http::Response can leave its framing away, for servers of tests.

--- a/packages/http/include/lagoonwind/http.h
+++ b/packages/http/include/lagoonwind/http.h
@@ -53,6 +53,9 @@
   /// Servers only: if set, the body is streamed with chunked transfer encoding instead of sending
   /// `body`.
   NextChunk next_chunk;
+  /// Servers only: if true, the body has neither a length nor chunks and ends with the connection,
+  /// also if `next_chunk` returns an error.
+  bool close_delimited = false;
 };
 
 /// Parses `IP:PORT`.
--- a/packages/http/src/http.cc
+++ b/packages/http/src/http.cc
@@ -101,7 +101,9 @@
   }
   out.keep_alive(keep_alive);
   out.body() = std::move(response.body);
-  out.prepare_payload();
+  if (!response.close_delimited) {
+    out.prepare_payload();
+  }
   return out;
 }
 
@@ -115,7 +117,7 @@
   for (const auto& field : response.fields) {
     head.set(field.name, field.value);
   }
-  head.chunked(true);
+  head.chunked(!response.close_delimited);
   beast::http::response_serializer<beast::http::empty_body> serializer{head};
   ErrorCode error;
   co_await beast::http::async_write_header(stream, serializer, Redirect(error));
@@ -124,13 +126,20 @@
     if (!chunk.ok()) {
       co_return false;
     }
+    if (chunk->empty() && response.close_delimited) {
+      co_return true;
+    }
     if (chunk->empty()) {
       co_await asio::async_write(stream, beast::http::make_chunk_last(), Redirect(error));
       co_return !error;
     }
     stream.expires_after(limits::kCallerWriteTimeout);
-    co_await asio::async_write(stream, beast::http::make_chunk(asio::buffer(*chunk)),
-                               Redirect(error));
+    if (response.close_delimited) {
+      co_await asio::async_write(stream, asio::buffer(*chunk), Redirect(error));
+    } else {
+      co_await asio::async_write(stream, beast::http::make_chunk(asio::buffer(*chunk)),
+                                 Redirect(error));
+    }
   }
   co_return false;
 }
@@ -177,6 +186,7 @@
     keep_alive = parser.get().keep_alive();
     stream.expires_never();
     Response response = co_await handler(FromBeast(parser.release()));
+    keep_alive = keep_alive && !response.close_delimited;
     if (response.next_chunk) {
       const bool complete = co_await WriteStream(stream, response);
       if (!complete || !keep_alive) {
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -111,6 +111,7 @@
     call.echoed_id = std::string(message["X-Attempt-Id"]);
     call.server_seal = std::string(message["X-Server-Seal"]);
     call.response_body = message.body();
+    call.framed = !parser.need_eof();
   }
   call.complete = !error && parser.is_done();
   call.has_surplus = call.complete && buffer.size() > 0;
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -26,6 +26,10 @@
 struct ExecutionCounts {
   int arrivals = 0;
   int executions = 0;
+  /// True if a backend server has sent its response without framing.
+  bool has_unframed = false;
+  /// True if one of these responses ended before it was complete.
+  bool has_broken_unframed = false;
   /// When the last backend server that executed it has finished.
   Clock::time_point work_end{};
 };
@@ -56,12 +60,28 @@
   std::vector<std::string> lines_;
 };
 
-void CheckSuccess(const CallRecord& call, Violations& violations) {
+/// True if a body that ended with its connection is all that its backend server may have sent.
+bool IsUnframedBody(const CallRecord& call, const ExecutionCounts& counts,
+                    std::string_view expected) {
+  constexpr std::string_view kEventEnd = "\n\n";
+  const bool ends_event = !IsStream(call.kind) || call.response_body.ends_with(kEventEnd);
+  return call.response_body == expected ||
+         (counts.has_broken_unframed && ends_event && expected.starts_with(call.response_body));
+}
+
+void CheckSuccess(const CallRecord& call, const ExecutionCounts& counts, Violations& violations) {
   if (!call.server_seal.ends_with("." + call.id) || call.echoed_id != call.id) {
     violations.Add("MIXED", call, "answer of another request, seal " + call.server_seal);
   }
   const std::string expected = IsStream(call.kind) ? kExpectedStream : "answer to " + call.id;
-  if (call.complete && call.response_body != expected) {
+  if (call.complete && !call.framed) {
+    if (!counts.has_unframed) {
+      violations.Add("MIXED", call, "lost the framing of its backend server's response");
+    }
+    if (!IsUnframedBody(call, counts, expected)) {
+      violations.Add("ORDER", call, "unframed body is " + call.response_body);
+    }
+  } else if (call.complete && call.response_body != expected) {
     violations.Add(IsStream(call.kind) ? "ORDER" : "MIXED", call, "body is " + call.response_body);
   } else if (!call.complete && !expected.starts_with(call.response_body)) {
     violations.Add("ORDER", call, "part of a body is " + call.response_body);
@@ -94,7 +114,7 @@
 void CheckCall(const CallRecord& call, const ExecutionCounts& counts, const CheckOptions& options,
                Violations& violations) {
   if (call.status / 100 == 2) {
-    CheckSuccess(call, violations);
+    CheckSuccess(call, counts, violations);
   } else if (IsNotRunStatus(call.status) && counts.executions > 0 &&
              (!IsRetryable(call.kind) || (options.planned_only && call.status == 503))) {
     violations.Add("REFUSED", call, "a backend server ran it");
@@ -189,6 +209,8 @@
     ExecutionCounts& counts =
         counts_by_id[std::string(http::FindField(request.request.fields, "X-Attempt-Id"))];
     ++counts.arrivals;
+    counts.has_unframed = counts.has_unframed || !request.framed;
+    counts.has_broken_unframed = counts.has_broken_unframed || request.broken_off;
     if (request.executed) {
       ++counts.executions;
       const bool is_stream = request.request.target.starts_with("/plan/") ||
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -37,8 +37,10 @@
   /// generated the response.
   std::string server_seal;
   std::string response_body;
-  /// The whole response arrived.
+  /// The whole response arrived, as far as the caller can tell.
   bool complete = false;
+  /// A length or a last chunk shows where the body ends.
+  bool framed = true;
   /// The caller disconnected on purpose before the response was complete.
   bool disconnected = false;
   /// Further bytes followed the response although no other request was sent.
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -46,6 +46,30 @@
 constexpr int kMinLongWorkMs = 50;
 constexpr int kMaxLongWorkMs = 900;
 
+/// Mean time between the starts of framing faults.
+constexpr int kMeanFramingIntervalMs = 500;
+
+/// Adds faults in the framing of responses. Those of seeds with planned operations only are
+/// complete responses without framing, which is no fault.
+void AppendFramingFaults(const PlanOptions& options, std::vector<Step>& plan) {
+  // Generated apart from the other steps, so that those stay as they are for each seed.
+  std::mt19937_64 random(options.seed ^ 0x5DEECE66DULL);
+  const auto random_below = [&](int bound) {
+    return static_cast<int>(random() % static_cast<std::uint64_t>(bound));
+  };
+  for (milliseconds start_offset{random_below(2 * kMeanFramingIntervalMs)};
+       start_offset < options.duration;
+       start_offset += milliseconds(random_below(2 * kMeanFramingIntervalMs))) {
+    const int fault_variant = random_below(1000);
+    plan.push_back(
+        {.disturbance = Disturbance::kServerFramingFault,
+         .start_offset = start_offset,
+         .duration = milliseconds(kMinDurationMs + random_below(kMaxDurationMs - kMinDurationMs)),
+         .target_index = random_below(options.servers),
+         .fault_variant = IsPlannedOnly(options.seed) ? 0 : fault_variant});
+  }
+}
+
 /// Adds a rolling stop, and planned work that goes with it.
 void AppendRollingStop(const PlanOptions& options, std::vector<Step>& plan) {
   // Generated apart from the other steps, so that those stay as they are for each seed.
@@ -79,10 +103,10 @@
 }  // namespace
 
 std::string_view Name(Disturbance disturbance) {
-  constexpr std::array<std::string_view, 13> kNames{
-      "stop_gateway",   "reload_gateway", "new_configuration", "drain_server", "server_link",
-      "store_link",     "store_down",     "pause_gateway",     "kill_gateway", "server_mode",
-      "restart_server", "vanish_server",  "all_refuse"};
+  constexpr std::array<std::string_view, 14> kNames{
+      "stop_gateway",   "reload_gateway", "new_configuration", "drain_server",  "server_link",
+      "store_link",     "store_down",     "pause_gateway",     "kill_gateway",  "server_mode",
+      "restart_server", "vanish_server",  "all_refuse",        "server_framing"};
   return kNames[static_cast<std::size_t>(disturbance)];
 }
 
@@ -134,6 +158,7 @@
     }
   }
   AppendRollingStop(options, plan);
+  AppendFramingFaults(options, plan);
   std::ranges::stable_sort(plan, {}, &Step::start_offset);
   return plan;
 }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -28,6 +28,8 @@
   /// All backend servers refuse requests without execution, so that only the retry budget limits
   /// retries.
   kAllServersRefuse,
+  /// A backend server sends responses without framing, or ends streams inside an event.
+  kServerFramingFault,
 };
 
 /// Returns the name of a disturbance, such as `stop_gateway`.
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -25,6 +25,10 @@
                                    ServerMode::kLoseResponse, ServerMode::kHang,
                                    ServerMode::kBreakStream};
 
+/// The first is a sound response.
+constexpr std::array kFramingModes{ServerMode::kUnframed, ServerMode::kBreakUnframed,
+                                   ServerMode::kEndInsideEvent, ServerMode::kRefuseResumption};
+
 /// True if the process has a handler for the signal. Until then, the signal would end it.
 bool Handles(const Process& process, int signal) {
   constexpr std::string_view kHandledSignals = "SigCgt:";
@@ -123,6 +127,9 @@
     case Disturbance::kServerFailureMode:
       platform_.SetMode(server.name, Pick(kFailureModes, step.fault_variant));
       break;
+    case Disturbance::kServerFramingFault:
+      platform_.SetMode(server.name, Pick(kFramingModes, step.fault_variant));
+      break;
     case Disturbance::kRestartServer: {
       // The new incarnation is registered only when the step ends.
       server.proxy->SetFault(LinkFault::kReset);
@@ -198,6 +205,7 @@
       servers_[static_cast<std::size_t>(step.target_index)].proxy->SetFault(LinkFault::kNone);
       break;
     case Disturbance::kServerFailureMode:
+    case Disturbance::kServerFramingFault:
       platform_.SetMode(servers_[static_cast<std::size_t>(step.target_index)].name,
                         ServerMode::kRespond);
       break;
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -55,6 +55,10 @@
   }
 }
 
+bool IsUnframed(ServerMode mode) {
+  return mode == ServerMode::kUnframed || mode == ServerMode::kBreakUnframed;
+}
+
 json RouteOf(const char* name, const char* prefix, const char* kind, const char* service) {
   return {{"name", name},       {"host", "shop"},    {"path_prefix", prefix}, {"type", kind},
           {"timeout_ms", 4000}, {"slo_ms", 600},     {"backend", service},    {"max_attempts", 3},
@@ -305,25 +309,30 @@
   return refused_store_calls_;
 }
 
-http::Response PlatformWorld::Stream(const http::Request& request, bool break_early,
+http::Response PlatformWorld::Stream(const http::Request& request, ServerMode mode,
                                      milliseconds pause) {
+  constexpr int kEventsBeforeBreak = 2;
+  const bool breaks = mode == ServerMode::kBreakStream || mode == ServerMode::kBreakUnframed ||
+                      mode == ServerMode::kRefuseResumption || mode == ServerMode::kEndInsideEvent;
   const std::string last(http::FindField(request.fields, "Last-Event-Id"));
   auto next = std::make_shared<int>(last.empty() ? 1 : std::stoi(last) + 1);
   auto sent = std::make_shared<int>(0);
-  http::Response response{.status = 200, .content_type = "text/event-stream"};
-  response.next_chunk = [next, sent, break_early,
+  http::Response response{
+      .status = 200, .content_type = "text/event-stream", .close_delimited = IsUnframed(mode)};
+  response.next_chunk = [next, sent, breaks, mode,
                          pause]() -> asio::awaitable<absl::StatusOr<std::string>> {
-    constexpr int kEventsBeforeBreak = 2;
-    if (*next > kStreamEvents) {
+    if (*next > kStreamEvents || *sent > kEventsBeforeBreak) {
       co_return std::string();
     }
-    if (break_early && *sent == kEventsBeforeBreak) {
+    const bool at_break = breaks && *sent == kEventsBeforeBreak;
+    if (at_break && mode != ServerMode::kEndInsideEvent) {
       co_return absl::AbortedError("stream aborted by the test");
     }
     co_await Pause(pause);
-    ++*sent;
+    *sent += breaks ? 1 : 0;
     const int id = (*next)++;
-    co_return absl::StrCat("id: ", id, "\ndata: event ", id, "\n\n");
+    co_return at_break ? absl::StrCat("id: ", id, "\ndata: ev")
+                       : absl::StrCat("id: ", id, "\ndata: event ", id, "\n\n");
   };
   return response;
 }
@@ -348,6 +357,8 @@
     received_.push_back({.server = name,
                          .request = request,
                          .executed = instance_matches && mode != ServerMode::kNotRun,
+                         .framed = !IsUnframed(mode),
+                         .broken_off = mode == ServerMode::kBreakUnframed,
                          .arrived = std::chrono::steady_clock::now(),
                          .processing_time = processing_time});
   }
@@ -386,15 +397,25 @@
     co_return response;
   }
   const bool streams = request.target.starts_with("/plan/") || request.target.starts_with("/chat/");
+  if (mode == ServerMode::kRefuseResumption &&
+      !http::FindField(request.fields, "Last-Event-Id").empty()) {
+    co_return http::Response{
+        .status = 404, .fields = {echo, server_seal}, .body = "no such event\n\n"};
+  }
   if (mode != ServerMode::kFail && streams) {
-    auto response = Stream(request, mode == ServerMode::kBreakStream, processing_time);
+    auto response = Stream(request, mode, processing_time);
     response.fields = {echo, server_seal};
     co_return response;
   }
+  std::string body = absl::StrCat("answer to ", id);
+  if (mode == ServerMode::kBreakUnframed) {
+    body.resize(body.size() / 2);
+  }
   co_return http::Response{.status = mode == ServerMode::kFail ? 500U : 200U,
                            .content_type = "text/plain",
                            .fields = {echo, server_seal},
-                           .body = absl::StrCat("answer to ", id)};
+                           .body = std::move(body),
+                           .close_delimited = IsUnframed(mode)};
 }
 
 std::string PlatformWorld::CallerAddress(int number) {
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -30,6 +30,15 @@
   kHang,
   /// Aborts a stream after two events.
   kBreakStream,
+  /// Responds with neither a length nor chunks.
+  kUnframed,
+  /// As kUnframed, and closes the connection in order after two events of a stream or half of
+  /// another body.
+  kBreakUnframed,
+  /// Ends a stream with its last chunk inside the third event.
+  kEndInsideEvent,
+  /// Aborts a stream after two events, and responds with status 404 if it is to be resumed.
+  kRefuseResumption,
 };
 
 /// One request as a backend server received it.
@@ -38,6 +47,10 @@
   http::Request request;
   /// False if the backend server responded that it has not run the request.
   bool executed = true;
+  /// False if the response has neither a length nor chunks.
+  bool framed = true;
+  /// True if the response without framing ends before it is complete.
+  bool broken_off = false;
   std::chrono::steady_clock::time_point arrived{};
   /// Time until the response and between the events of a stream.
   std::chrono::milliseconds processing_time{0};
@@ -179,7 +192,7 @@
   http::Response ReadFrom(const std::string& topic, std::int64_t from) const;
   /// True if the engine must crash instead of responding. Requires that `mutex_` is held.
   [[nodiscard]] bool IsDeadly(const Server& server, const http::Request& request) const;
-  static http::Response Stream(const http::Request& request, bool break_early,
+  static http::Response Stream(const http::Request& request, ServerMode mode,
                                std::chrono::milliseconds pause);
 
   http::asio::io_context io_;
--- a/tests/unit/soak_checks_test.cc
+++ b/tests/unit/soak_checks_test.cc
@@ -215,6 +215,21 @@
   CHECK(FindViolations({stream.call}, {stream.seen}, {}).empty());
 }
 
+TEST_CASE("a response without framing must be all that its backend server sent") {
+  Booking booking;
+  booking.call.framed = false;
+  CHECK(ReportsOnly({booking.call}, {booking.seen}, "MIXED"));
+  booking.seen.framed = false;
+  CHECK(FindViolations({booking.call}, {booking.seen}, {}).empty());
+  booking.call.response_body = "answer";
+  CHECK(ReportsOnly({booking.call}, {booking.seen}, "ORDER"));
+  booking.seen.broken_off = true;
+  CHECK(FindViolations({booking.call}, {booking.seen}, {}).empty());
+  // Framing states that the body is complete.
+  booking.call.framed = true;
+  CHECK(ReportsOnly({booking.call}, {booking.seen}, "MIXED"));
+}
+
 TEST_CASE("repeats of all gateways together are limited by the retry budget") {
   std::vector<CallRecord> calls;
   std::vector<ReceivedRequest> seen;
