Test: close both connections of a crash at once

The case of other connections that break closed two connections from two timers, which a busy machine can part by more than the gateway waits. One script now resets the other connection and returns.

--- a/tests/end_to_end/unframed_response_test.cc
+++ b/tests/end_to_end/unframed_response_test.cc
@@ -50,7 +50,6 @@
       co_await scripts_[attempt](connection, id);
     }
   }
-  [[nodiscard]] std::shared_ptr<std::atomic<int>> count() const { return count_; }
 
  private:
   std::vector<Script> scripts_;
@@ -175,18 +174,23 @@
 }
 
 TEST_CASE("a response without framing is broken off if other connections to its engine break") {
-  std::atomic<int> arrived = 0;
+  RawConnection* other = nullptr;
   ScriptedFixture fixture(
       "model", [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
         const bool unframed = id == "j1";
         std::string response = ResponseHeadOf(id, unframed ? kUnframed : kChunked);
         response.append(unframed ? EventOf(1) + EventOf(2) : ChunkOf(EventOf(1)));
         (void)co_await connection.Write(std::move(response));
-        ++arrived;
-        while (arrived < 2) {
+        if (!unframed) {
+          other = &connection;
+          (void)co_await connection.ReadRequest();
+          co_return;
+        }
+        while (other == nullptr) {
           co_await connection.Wait(milliseconds(1));
         }
         co_await connection.Wait(milliseconds(20));
+        other->Reset();
       });
   Caller::Response unframed;
   std::jthread first([&] { unframed = Stream("/chat/1", "j1"); });
