Entry: recognize an engine's last event with any line ends

The last event of a stream without framing was recognized with "\n" line ends only, so that a sound engine with "\r\n" would have had each such stream broken off. Before: the case "a stream without framing is complete with its last event" fails for "\r\n"; after: passes for both.

--- a/packages/backend/src/http_backend.cc
+++ b/packages/backend/src/http_backend.cc
@@ -1,6 +1,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -72,14 +73,21 @@
     }
     const bool done = data.find(kDoneEvent) != std::string_view::npos;
     tail_.append(data);
-    tail_.erase(0, tail_.size() - std::min(tail_.size(), kLastEvent.size()));
+    tail_.erase(0, tail_.size() - std::min(tail_.size(), kMaxTailBytes));
     return done && events > 0 ? events - 1 : events;
   }
-  [[nodiscard]] bool at_end() const override { return tail_ == kLastEvent; }
+  [[nodiscard]] bool at_end() const override {
+    const std::string_view tail = tail_;
+    return std::ranges::any_of(kSeparators, [&](std::string_view separator) {
+      return tail.ends_with(separator) &&
+             tail.substr(0, tail.size() - separator.size()).ends_with(kDoneEvent);
+    });
+  }
 
  private:
   static constexpr std::string_view kDoneEvent = "data: [DONE]";
-  static constexpr std::string_view kLastEvent = "data: [DONE]\n\n";
+  static constexpr std::array<std::string_view, 3> kSeparators{"\n\n", "\r\n\r\n", "\r\r"};
+  static constexpr std::size_t kMaxTailBytes = kDoneEvent.size() + kSeparators[1].size();
   char last_ = '\0';
   std::string tail_;
 };
--- a/tests/end_to_end/entry_responses_test.cc
+++ b/tests/end_to_end/entry_responses_test.cc
@@ -131,11 +131,13 @@
     CHECK_FALSE(response.ok());
   }
   SUBCASE("a stream without framing is complete with its last event") {
-    const std::string events = "data: {}\n\ndata: [DONE]\n\n";
-    const auto response =
-        FetchNow(entry, CompletionRequest(absl::StrCat(kStreamHead, "\r\n", events), true));
-    REQUIRE(response.ok());
-    CHECK(response->body == events);
+    for (const char* separator : {"\n\n", "\r\n\r\n"}) {
+      const std::string events = absl::StrCat("data: {}", separator, "data: [DONE]", separator);
+      const auto response =
+          FetchNow(entry, CompletionRequest(absl::StrCat(kStreamHead, "\r\n", events), true));
+      REQUIRE(response.ok());
+      CHECK(response->body == events);
+    }
   }
   SUBCASE("a stream without its last chunk is broken off") {
     const auto response = FetchNow(
