--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -20,6 +20,9 @@
     const std::string& address, http::Request request,
     std::chrono::milliseconds timeout = std::chrono::seconds(20));
 
+/// \return A chat completion of model `crest`, with the token of a customer of the local fleet.
+http::Request CompletionRequest(const std::string& prompt, bool stream);
+
 struct BackendSpec {
   std::string name;
   /// "engine" or "service".
