Gateway: abort a silent attempt only for another one

Callers saw streams end midway, and plain requests fail with 502, while their backend server was sound but silent for a second or so: an attempt of a retryable request was aborted after max(900 ms, estimate + 2 objectives) without progress, and only then it was decided whether another attempt was possible. With no other server, a used-up retry budget, too little time left at the others or late in a drain it wasn't.

The watchdog now takes the decision first: a server that the dispatcher would send to and that isn't ejected, and a retry of the budget. Both are kept for the attempt that follows; only then the connection is closed, so that a stream never runs on two servers. With another server at hand, the limit on silence is as before.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -15,10 +15,6 @@
 
 using ErrorCode = boost::system::error_code;
 
-/// Time beyond the deadline for which a response in transit is still awaited.
-constexpr Duration kDeadlineGrace = std::chrono::milliseconds(60);
-/// Lateness of the watchdog from which silence is attributed to this process.
-constexpr Duration kMaxWatchdogLag = std::chrono::milliseconds(250);
 /// Largest number of attempts per request, including those that reached no backend server.
 constexpr int kMaxAttempts = 4;
 /// Fraction by which Retry-After is randomly extended, so that callers do not return all at once.
@@ -161,36 +157,6 @@
   return WithJitter(until_trial);
 }
 
-void Exchange::StartWatchdog(Duration stall_timeout) {
-  stall_timeout_ = stall_timeout;
-  watchdog_due_ = Time{};
-  RecordProgress();
-  ArmWatchdog();
-}
-
-void Exchange::ArmWatchdog() {
-  const Time now = Now();
-  if (watchdog_due_ != Time{} && now - watchdog_due_ > kMaxWatchdogLag) {
-    // This process was suspended, so that a response may have arrived that it has not read yet.
-    RecordProgress();
-  }
-  const Duration until_stalled = last_progress_ + stall_timeout_ - now;
-  const Duration until_timeout = deadline_ + kDeadlineGrace - now;
-  if (until_timeout <= Duration{0} || until_stalled <= Duration{0}) {
-    AbortAttempt(until_timeout <= Duration{0} ? AbortReason::kTimeout : AbortReason::kStalled);
-    return;
-  }
-  // Progress only updates a timestamp, which is compared when the timer fires.
-  const Duration wait = std::min(until_stalled, until_timeout);
-  watchdog_due_ = now + wait;
-  watchdog_.expires_after(wait);
-  watchdog_.async_wait([weak = weak_from_this()](const ErrorCode& error) {
-    if (const auto self = weak.lock(); self != nullptr && !error) {
-      self->ArmWatchdog();
-    }
-  });
-}
-
 double Exchange::ColdRate(const KnownServer& known, Time now) const {
   if (now >= known.cold_until) {
     return 0;
@@ -282,7 +248,14 @@
     co_return co_await SendLocalResponse(kUnavailable, kQuarantined, QuarantineRetryAfter(now));
   }
   for (;;) {
-    decision_ = Decide(Now());
+    // The reserved server may have become ineligible meanwhile.
+    const bool usable =
+        reserved_ && std::ranges::any_of(context_.fleet.EligibleServers(service_),
+                                         [this](const KnownServer* known) {
+                                           return known->server.id == reserved_->server;
+                                         });
+    decision_ = usable ? *reserved_ : Decide(Now());
+    reserved_.reset();
     if (attempts_ == 0) {
       first_decision_ = decision_;
     }
@@ -334,14 +307,18 @@
          attempts_ < kMaxAttempts && !is_trial();
 }
 
-bool Exchange::MayRetry(AttemptResult result) {
-  const Time now = Now();
+bool Exchange::RetriesAreBarred(Time now) const {
   if (attempts_ >= kMaxAttempts || TimeLeft(now) < kMinAttemptTime ||
-      abort_reason_ == AbortReason::kStopping) {
-    return false;
+      abort_reason_ == AbortReason::kStopping || IsQuarantined(now)) {
+    return true;
   }
-  if (IsQuarantined(now) || (stream_begun_ ? !context_.drain.MayContinue(now)
-                                           : !context_.drain.MayAccept(deadline_, now))) {
+  return stream_begun_ ? !context_.drain.MayContinue(now)
+                       : !context_.drain.MayAccept(deadline_, now);
+}
+
+bool Exchange::MayRetry(AttemptResult result) {
+  const Time now = Now();
+  if (RetriesAreBarred(now)) {
     return false;
   }
   const bool may_have_run = result == AttemptResult::kUnknown ||
@@ -356,7 +333,8 @@
   if (may_have_run && !MaySendAgain()) {
     return false;
   }
-  if (!context_.RetryBudgetFor(service_).TryConsume(context_.peers.fleet_size(), now)) {
+  if (!reserved_ &&
+      !context_.RetryBudgetFor(service_).TryConsume(context_.peers.fleet_size(), now)) {
     context_.log.Write(Severity::kFailure, "retry_budget_used_up",
                        {{"request", accepted_.request.id}, {"service", service_}});
     return false;
@@ -492,6 +470,8 @@
        {"framing", Name(last_framing_)},
        {"sends", attempts_},
        {"verdict", policy::Name(first_decision_.verdict)},
+       {"last_verdict", policy::Name(decision_.verdict)},
+       {"aborted_as", Describe(abort_reason_)},
        {"wait_ms", Milliseconds(estimate.queueing_delay)},
        {"read_ms", Milliseconds(estimate.prefill_time)},
        {"unread_tokens", estimate.uncached_tokens},
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -114,9 +115,16 @@
   /// Result of an attempt, considering why it was aborted.
   [[nodiscard]] AttemptResult ResultAfterAbort(AttemptResult result) const;
   [[nodiscard]] bool MayRetry(AttemptResult result);
+  /// True if the request or the process allows no further attempt now, whatever the result of the
+  /// last one.
+  [[nodiscard]] bool RetriesAreBarred(Time now) const;
   /// True if another attempt is possible after the running one, even if that may have executed the
   /// request.
   [[nodiscard]] bool MaySendAgain() const;
+  /// Reserves another attempt, which follows when the running one has been aborted.
+  /// Precondition: MaySendAgain().
+  /// \return False if none is possible now.
+  bool ReserveRetry(Time now);
   asio::awaitable<bool> Reject(const policy::DispatchDecision& decision);
   asio::awaitable<bool> SendLocalResponse(unsigned status, std::string_view reason,
                                           std::optional<Duration> retry_after);
@@ -129,7 +137,8 @@
     return stream_begun_ || !accepted_.request.last_event_id.empty();
   }
   [[nodiscard]] bool streaming() const { return accepted_.route->kind == RouteKind::kStreaming; }
-  /// Closes the backend connection at the deadline, or after `stall_timeout` without progress.
+  /// Closes the backend connection at the deadline, or after `stall_timeout` without progress once
+  /// another attempt is possible.
   void StartWatchdog(Duration stall_timeout);
   void ArmWatchdog();
   void RecordProgress() { last_progress_ = Now(); }
@@ -178,6 +187,8 @@
   std::vector<policy::SegmentId> trial_segments_;
   asio::steady_timer watchdog_;
   Duration stall_timeout_{0};
+  /// True if it was logged that the running attempt has stalled and goes on.
+  bool stall_logged_ = false;
   Time last_progress_{};
   /// When the watchdog is expected to run next.
   Time watchdog_due_{};
@@ -187,6 +198,8 @@
   std::optional<BufferedResponse> buffered_response_;
   policy::DispatchDecision first_decision_;
   policy::DispatchDecision decision_;
+  /// Decision on the attempt that follows the running one, whose retry is taken from the budget.
+  std::optional<policy::DispatchDecision> reserved_;
   policy::EngineLoad::RequestNumber load_request_number_ = 0;
   std::vector<ServerId> tried_servers_;
   /// Attempts after which the request may have been executed.
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -14,12 +14,10 @@
 namespace lagoonwind::gateway {
 namespace {
 
-/// Time without progress after which an attempt of a retryable request is abandoned: a multiple of
-/// the route's objective, but at least the minimum below.
+/// Time without progress after which an attempt of a retryable request is abandoned if another is
+/// possible: a multiple of the route's objective, but at least the minimum below.
 constexpr int kStallObjectiveMultiple = 2;
 constexpr Duration kMinStallTimeout = std::chrono::milliseconds(900);
-/// For attempts that no other can follow; these are only bounded by the request's deadline.
-constexpr Duration kNoStallTimeout = std::chrono::hours(1);
 /// Largest response that is buffered before it is forwarded.
 constexpr std::size_t kMaxBufferedResponseBytes = 1UL << 20U;
 constexpr std::size_t kReadBufferBytes = 16UL << 10U;
@@ -153,13 +151,9 @@
 
 asio::awaitable<Exchange::AttemptResult> Exchange::ReceiveResponse(BackendCall& call,
                                                                    const BackendServer& server) {
-  const Duration stall_timeout =
-      MaySendAgain()
-          ? std::max(kMinStallTimeout,
-                     decision_.estimate.queueing_delay + decision_.estimate.prefill_time +
-                         kStallObjectiveMultiple * Duration{accepted_.route->objective})
-          : kNoStallTimeout;
-  StartWatchdog(stall_timeout);
+  StartWatchdog(std::max(kMinStallTimeout,
+                         decision_.estimate.queueing_delay + decision_.estimate.prefill_time +
+                             kStallObjectiveMultiple * Duration{accepted_.route->objective}));
   const absl::Status read = co_await call.ReadHead();
   if (!read.ok()) {
     co_return ResponseInterrupted(read, server);
