Gateway: return to a silent server if the others refuse the stream

Callers saw a stream cut although its first server was sound: it was aborted for silence, the other server refused the resumption or could not be reached, and the first one counted as tried.

A server whose attempt was aborted for silence is now tried again if the dispatcher finds no other; retries and attempts are counted as before.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -248,14 +248,7 @@
     co_return co_await SendLocalResponse(kUnavailable, kQuarantined, QuarantineRetryAfter(now));
   }
   for (;;) {
-    // The reserved server may have become ineligible meanwhile.
-    const bool usable =
-        reserved_ && std::ranges::any_of(context_.fleet.EligibleServers(service_),
-                                         [this](const KnownServer* known) {
-                                           return known->server.id == reserved_->server;
-                                         });
-    decision_ = usable ? *reserved_ : Decide(Now());
-    reserved_.reset();
+    decision_ = DecideNext(Now());
     if (attempts_ == 0) {
       first_decision_ = decision_;
     }
@@ -271,6 +264,9 @@
     if (!MayRetry(result)) {
       co_return co_await Finish(result);
     }
+    if (abort_reason_ == AbortReason::kStalled) {
+      stalled_servers_.push_back(tried_servers_.back());
+    }
     abort_reason_ = AbortReason::kNone;
     context_.log.Write(Severity::kFailure, "resend",
                        {{"request", accepted_.request.id},
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -92,6 +92,8 @@
 
   asio::awaitable<bool> Serve();
   [[nodiscard]] policy::DispatchDecision Decide(Time now);
+  /// Decides on the next attempt, as reserved if the reservation still holds.
+  policy::DispatchDecision DecideNext(Time now);
   [[nodiscard]] std::vector<policy::Candidate> Candidates(Time now) const;
   /// Number of requests of this gateway that run on each candidate.
   [[nodiscard]] std::vector<int> OutstandingRequests(
@@ -201,7 +203,10 @@
   /// Decision on the attempt that follows the running one, whose retry is taken from the budget.
   std::optional<policy::DispatchDecision> reserved_;
   policy::EngineLoad::RequestNumber load_request_number_ = 0;
+  /// Not sent to again.
   std::vector<ServerId> tried_servers_;
+  /// Those of them whose attempt was aborted for silence; tried again if there is no other server.
+  std::vector<ServerId> stalled_servers_;
   /// Attempts after which the request may have been executed.
   int unresolved_attempts_ = 0;
   int attempts_ = 0;
--- a/packages/gateway/src/exchange_watchdog.cc
+++ b/packages/gateway/src/exchange_watchdog.cc
@@ -83,4 +83,24 @@
   return false;
 }
 
+policy::DispatchDecision Exchange::DecideNext(Time now) {
+  // The reserved server may have become ineligible meanwhile.
+  const bool usable =
+      reserved_ && std::ranges::any_of(context_.fleet.EligibleServers(service_),
+                                       [this](const KnownServer* known) {
+                                         return known->server.id == reserved_->server;
+                                       });
+  policy::DispatchDecision decision = usable ? *reserved_ : Decide(now);
+  reserved_.reset();
+  if (decision.verdict != policy::DispatchVerdict::kSend && !stalled_servers_.empty()) {
+    // Silence doesn't show that a server is dead.
+    std::erase_if(tried_servers_, [this](ServerId tried) {
+      return std::ranges::find(stalled_servers_, tried) != stalled_servers_.end();
+    });
+    stalled_servers_.clear();
+    decision = Decide(now);
+  }
+  return decision;
+}
+
 }  // namespace lagoonwind::gateway
--- a/tests/end_to_end/silent_server_test.cc
+++ b/tests/end_to_end/silent_server_test.cc
@@ -166,4 +166,28 @@
   CHECK(!overlap);
 }
 
+TEST_CASE("a stream returns to a silent backend server if the others refuse it") {
+  std::atomic<int> executions = 0;
+  ScriptedFixture fixture(
+      "model",
+      [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+        const int execution = executions++;
+        std::string text = ResponseHeadOf(id, "Transfer-Encoding: chunked");
+        if (execution == 0) {
+          text.append(ChunkOf(EventOf(1)));
+        } else if (execution == 1) {
+          text = RefusalOf(id);
+        } else {
+          text.append(ChunkOf(EventOf(2) + EventOf(3) + EventOf(4)) + kLastChunk);
+        }
+        (void)co_await connection.Write(std::move(text));
+        (void)co_await connection.ReadRequest();
+      },
+      2);
+  const auto response = SendPlan("g1");
+  CHECK(response.complete);
+  CHECK(response.body == ExpectedStream());
+  CHECK(executions == 3);
+}
+
 }  // namespace lagoonwind
