--- /dev/null
+++ b/tests/unit/odd_record_values_test.cc
@@ -0,0 +1,166 @@
+#include <doctest/doctest.h>
+
+#include <array>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "event_log.h"
+#include "fleet_state.h"
+#include "lagoonwind/users_platform.h"
+
+namespace lagoonwind::users_platform {
+namespace {
+
+using gateway::milliseconds;
+using gateway::Record;
+using gateway::Topic;
+using nlohmann::json;
+
+/// Levels of nesting that fit into the largest record of the store.
+constexpr std::size_t kDeepLevels = 120'000;
+
+std::string NestedArrays(std::size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+std::string NestedObjects(std::size_t levels) {
+  std::string text;
+  for (std::size_t i = 0; i < levels; ++i) {
+    text += R"({"":)";
+  }
+  return text + "1" + std::string(levels, '}');
+}
+
+json ServerJson() {
+  return {{"backend", "s"},       {"addr", "1.2.3.4:5"}, {"zone", "z"},         {"version", "v1"},
+          {"slots", 64},          {"state", "ready"},    {"cold_left_ms", 100}, {"seq", 4},
+          {"born", 1700000000000}};
+}
+
+json ConfigurationJson() {
+  return {{"version", 7},
+          {"routes",
+           {{{"name", "a"},
+             {"host", "h"},
+             {"path_prefix", "/x/"},
+             {"type", "idempotent"},
+             {"timeout_ms", 5000},
+             {"slo_ms", 600},
+             {"backends", {{{"backend", "s"}, {"weight", 90}}}},
+             {"max_attempts", 2}}}},
+          {"services",
+           {{{"name", "s"},
+             {"max_conns", 360},
+             {"cold_s", 3.5},
+             {"cold_per_s", 13.0},
+             {"engine", {{"slots", 64}, {"kv_capacity", 1000}}}}}},
+          {"limits",
+           {{"max_header_bytes", 1000},
+            {"max_body_bytes", 2000},
+            {"header_timeout_ms", 3000},
+            {"idle_timeout_ms", 15000},
+            {"tokens_per_s", 5}}},
+          {"tenants", {{{"name", "c"}, {"api_keys", {"k1"}}}}}};
+}
+
+/// Value of `root` with the member at `path` replaced by unparsed JSON text.
+std::string WithMember(json root, const char* path, const std::string& text) {
+  constexpr const char* kPlaceholder = "placeholder of the member";
+  root[json::json_pointer(path)] = kPlaceholder;
+  std::string value = root.dump();
+  const std::string quoted = std::string("\"") + kPlaceholder + "\"";
+  value.replace(value.find(quoted), quoted.size(), text);
+  return value;
+}
+
+auto DecodeServer(const std::string& value, const std::string& key = "i-1") {
+  return MakeRecordCodec()->DecodeServer({.key = key, .value = value});
+}
+
+auto DecodeConfiguration(const std::string& value) {
+  return MakeRecordCodec()->DecodeOperatorRecord({.key = "config", .value = value});
+}
+
+Time At(std::chrono::milliseconds time) { return Time{std::chrono::seconds(100)} + time; }
+
+/// A fleet state that receives one record of a server after the other.
+struct FleetFixture {
+  void Put(const std::string& key, const std::string& value, Time now = At(milliseconds(0))) {
+    fleet.Apply(Topic::kServers,
+                {.records = {{.key = key, .value = value}}, .next_offset = ++offset}, false, "test",
+                now);
+  }
+  void Delete(const std::string& key) {
+    fleet.Apply(Topic::kServers, {.records = {{.key = key}}, .next_offset = ++offset}, false,
+                "test", At(std::chrono::hours(1)));
+  }
+  [[nodiscard]] std::vector<std::string> Addresses() const {
+    std::vector<std::string> addresses;
+    for (const gateway::KnownServer* known : fleet.EligibleServers("s")) {
+      addresses.push_back(known->server.address);
+    }
+    return addresses;
+  }
+
+  std::unique_ptr<gateway::RecordCodec> codec = MakeRecordCodec();
+  gateway::EventLog log{"test"};
+  gateway::FleetState fleet{*codec, log};
+  std::int64_t offset = 0;
+};
+
+constexpr std::array<const char*, 9> kServerFields{
+    "/backend", "/addr", "/zone", "/slots", "/state", "/cold_left_ms", "/seq", "/born", "/unknown"};
+constexpr std::array<const char*, 20> kConfigurationFields{"/version",
+                                                           "/routes",
+                                                           "/routes/0",
+                                                           "/routes/0/name",
+                                                           "/routes/0/timeout_ms",
+                                                           "/routes/0/slo_ms",
+                                                           "/routes/0/max_attempts",
+                                                           "/routes/0/backends",
+                                                           "/routes/0/backends/0/weight",
+                                                           "/services",
+                                                           "/services/0",
+                                                           "/services/0/max_conns",
+                                                           "/services/0/engine",
+                                                           "/limits",
+                                                           "/limits/max_body_bytes",
+                                                           "/limits/unknown",
+                                                           "/tenants",
+                                                           "/tenants/0",
+                                                           "/tenants/0/api_keys",
+                                                           "/unknown"};
+
+}  // namespace
+
+TEST_CASE("the unchanged records of these tests are decoded") {
+  const auto server = DecodeServer(ServerJson().dump());
+  REQUIRE(server.ok());
+  CHECK(server->slots == 64);
+  CHECK(server->cold_left == milliseconds(100));
+  const auto change = DecodeConfiguration(ConfigurationJson().dump());
+  REQUIRE(change.ok());
+  CHECK(change->configuration->services.at("s").cold_duration == milliseconds(3500));
+}
+
+TEST_CASE("a deeply nested record does not overflow the stack") {
+  for (const std::string& deep : {NestedArrays(kDeepLevels), NestedObjects(40'000)}) {
+    CHECK(!DecodeServer(deep).ok());
+    CHECK(!DecodeConfiguration(deep).ok());
+    CHECK(!DecodeSettings(deep).ok());
+    for (const char* field : kServerFields) {
+      CAPTURE(field);
+      CHECK(!DecodeServer(WithMember(ServerJson(), field, deep)).ok());
+    }
+    for (const char* field : kConfigurationFields) {
+      CAPTURE(field);
+      CHECK(!DecodeConfiguration(WithMember(ConfigurationJson(), field, deep)).ok());
+    }
+  }
+  CHECK(!DecodeServer(std::string(kDeepLevels, '[')).ok());
+  CHECK(!DecodeConfiguration(std::string(kDeepLevels, '[')).ok());
+}
+
+}  // namespace lagoonwind::users_platform
