--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -163,4 +163,48 @@
   CHECK(!DecodeConfiguration(std::string(kDeepLevels, '[')).ok());
 }
 
+TEST_CASE("a server record with a number out of range is not usable") {
+  for (const char* number :
+       {"1e300", "-1e300", "-1", "1e19", "9223372036854775808", "18446744073709551615",
+        "-9223372036854775809", "9223372036854775807", "1e15"}) {
+    for (const char* field : {"/slots", "/cold_left_ms", "/born"}) {
+      CAPTURE(field);
+      CAPTURE(number);
+      CHECK(!DecodeServer(WithMember(ServerJson(), field, number)).ok());
+    }
+  }
+  for (const char* number : {"1e300", "-1e300", "-1", "1e19", "9223372036854775808", "0.5"}) {
+    CAPTURE(number);
+    CHECK(!DecodeServer(WithMember(ServerJson(), "/seq", number)).ok());
+  }
+  CHECK(!DecodeServer(WithMember(ServerJson(), "/slots", "2147483648")).ok());
+  CHECK(!DecodeServer(WithMember(ServerJson(), "/born", "0")).ok());
+  CHECK(!DecodeServer(WithMember(ServerJson(), "/born", "1700000000000.5")).ok());
+}
+
+TEST_CASE("a configuration with a number out of range is rejected") {
+  for (const char* field :
+       {"/version", "/routes/0/timeout_ms", "/routes/0/slo_ms", "/routes/0/max_attempts",
+        "/routes/0/backends/0/weight", "/services/0/max_conns", "/services/0/cold_s",
+        "/services/0/cold_per_s", "/services/0/engine/slots", "/services/0/engine/kv_capacity",
+        "/limits/max_header_bytes", "/limits/max_body_bytes", "/limits/header_timeout_ms",
+        "/limits/idle_timeout_ms", "/limits/tokens_per_s"}) {
+    for (const char* number : {"1e300", "-1e300", "-1"}) {
+      CAPTURE(field);
+      CAPTURE(number);
+      CHECK(!DecodeConfiguration(WithMember(ConfigurationJson(), field, number)).ok());
+    }
+  }
+}
+
+TEST_CASE("integers beyond the precision of a double are compared exactly") {
+  const auto earlier =
+      DecodeConfiguration(WithMember(ConfigurationJson(), "/version", "9007199254740992"));
+  const auto later =
+      DecodeConfiguration(WithMember(ConfigurationJson(), "/version", "9007199254740993"));
+  REQUIRE(earlier.ok());
+  REQUIRE(later.ok());
+  CHECK(later->configuration->version > earlier->configuration->version);
+}
+
 }  // namespace lagoonwind::users_platform
