--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -207,4 +207,43 @@
   CHECK(later->configuration->version > earlier->configuration->version);
 }
 
+TEST_CASE("a server record without a usable address is not usable") {
+  for (const char* address :
+       {"", ":", "1.2.3.4", "1.2.3.4:", ":80", "1.2.3.4:0", "1.2.3.4:70000", "1.2.3.4:-1",
+        "1.2.3.4:x", "1.2.3.4:5x", "host:80", "1.2.3:80", "1.2.3.4.5:80", "0.0.0.0:80",
+        "255.255.255.255:80", "224.0.0.1:80", "[::]:80", ":::80", "1.2.3.4:99999999999999999999"}) {
+    CAPTURE(address);
+    json record = ServerJson();
+    record["addr"] = address;
+    CHECK(!DecodeServer(record.dump()).ok());
+  }
+}
+
+TEST_CASE("an unusable record in place of a good one neither ends nor outlives the server's use") {
+  FleetFixture fixture;
+  fixture.Put("i-1", ServerJson().dump());
+  const std::vector<std::string> known{"1.2.3.4:5"};
+  for (const std::string& value :
+       {NestedArrays(kDeepLevels), std::string("\xff"), WithMember(ServerJson(), "/seq", "1e300"),
+        WithMember(ServerJson(), "/seq", "1e18"), WithMember(ServerJson(), "/born", "1e300"),
+        WithMember(ServerJson(), "/born", "1e18"), WithMember(ServerJson(), "/born", "-1e300"),
+        WithMember(ServerJson(), "/addr", "\"1.2.3.4:70000\"")}) {
+    CAPTURE(value.substr(0, 200));
+    fixture.Put("i-1", value);
+    CHECK(fixture.Addresses() == known);
+  }
+  json record = ServerJson();
+  record["seq"] = 5;
+  record["state"] = "draining";
+  fixture.Put("i-1", record.dump());
+  CHECK(fixture.Addresses().empty());
+  record["seq"] = 6;
+  record["state"] = "ready";
+  fixture.Put("i-1", record.dump());
+  CHECK(fixture.Addresses() == known);
+  fixture.Put("i-1", "odd");
+  fixture.Delete("i-1");
+  CHECK(fixture.Addresses().empty());
+}
+
 }  // namespace lagoonwind::users_platform
