Stand-in store: bring it back from a copy

CopyStore() and RestoreStore() let a test play a drill in which the platform's store comes back from a copy that lacks the last records: offsets go back and are given out again, and the header Store-Era, which all responses bear now, rises by one. Reads beyond the end of a topic get 410. HideStoreEra() plays a store of an older version.

Configure() can add a route, and a Registration states its zone and sequence.

--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -198,11 +198,11 @@
   Put("keyed.servers", registration.name,
       json{{"backend", registration.service},
            {"addr", registration.address},
-           {"zone", "z1"},
+           {"zone", registration.zone},
            {"slots", 8},
            {"state", registration.state},
            {"cold_left_ms", 0},
-           {"seq", 1},
+           {"seq", registration.sequence},
            {"born", registration.born}}
           .dump());
 }
@@ -286,16 +286,21 @@
   });
 }
 
-void PlatformWorld::Configure(int version) {
+void PlatformWorld::Configure(int version, const std::string& added_prefix) {
   json plan = RouteOf("plan", "/plan/", "streaming", "model");
   plan["resumable"] = true;
   json look = RouteOf("look", "/look/", "idempotent", "desk");
   look["public"] = true;
+  json routes{plan, RouteOf("chat", "/chat/", "streaming", "model"),
+              RouteOf("book", "/book/", "mutating", "desk"), look};
+  if (!added_prefix.empty()) {
+    look["name"] = "added";
+    look["path_prefix"] = added_prefix;
+    routes.push_back(look);
+  }
   Put("keyed.op", "config",
       json{{"version", version},
-           {"routes",
-            {plan, RouteOf("chat", "/chat/", "streaming", "model"),
-             RouteOf("book", "/book/", "mutating", "desk"), look}},
+           {"routes", routes},
            {"services",
             {{{"name", "model"}, {"engine", {{"slots", 8}, {"kv_capacity", 100000}}}},
              {{"name", "desk"}}}},
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -64,6 +64,17 @@
   std::string state = "ready";
   /// Start of the backend server, in milliseconds; a later one is a new incarnation.
   std::int64_t born = 1;
+  std::string zone = "z1";
+  /// Increases with each record of the incarnation.
+  std::int64_t sequence = 1;
+};
+
+/// A record as the store holds it.
+struct StoredRecord {
+  std::string topic;
+  /// Empty in topics without keys.
+  std::string key;
+  std::string value;
 };
 
 /// Stand-ins for the platform's store and backend servers, and gateways as processes, each on its
@@ -106,7 +117,8 @@
   [[nodiscard]] bool AllEnginesUp() const;
   /// Writes a configuration with the routes /plan/ (resumable stream), /chat/ (stream), /book/
   /// (mutating) and /look/ (idempotent, public).
-  void Configure(int version);
+  /// \param added_prefix  Path prefix of a further route like /look/; empty for none.
+  void Configure(int version, const std::string& added_prefix = "");
   /// Writes a record of the topic `keyed.servers` or `keyed.op`; an empty value deletes it.
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   void Delete(const std::string& topic, const std::string& key);
@@ -120,6 +132,15 @@
   /// Makes reads of the newest records of the topic wait, until called with another one.
   /// \param topic  Empty for none.
   void HoldStoreReads(std::string topic);
+  /// Records of the store, to be brought back by RestoreStore().
+  using StoreCopy = std::vector<StoredRecord>;
+  [[nodiscard]] StoreCopy CopyStore() const;
+  /// Brings back the store from a copy: what was written since is gone, its offsets are given out
+  /// again, and the header `Store-Era`, which all responses bear, rises by one. The store stays up
+  /// or down as it was.
+  void RestoreStore(StoreCopy copy);
+  /// Leaves `Store-Era` out of all responses, as a store of an older version does.
+  void HideStoreEra();
   /// Number of calls that the store has refused.
   [[nodiscard]] int refused_store_calls() const;
 
@@ -171,12 +192,6 @@
     /// Null while the engine is down.
     std::unique_ptr<Incarnation> incarnation;
   };
-  struct StoredRecord {
-    std::string topic;
-    /// Empty in topics without keys.
-    std::string key;
-    std::string value;
-  };
 
   /// Opens an engine. \return Its `IP:PORT`.
   std::string OpenEngine(const std::string& name, const std::string& service);
@@ -186,9 +201,13 @@
   http::asio::awaitable<void> RestartAfterCrash(std::size_t index);
 
   http::asio::awaitable<http::Response> HandleStore(http::Request request);
+  /// \param era  Receives the store's era at the time of the response, if the store states it.
+  http::asio::awaitable<http::Response> HandleStoreCall(http::Request request,
+                                                        std::optional<int>& era);
   http::asio::awaitable<http::Response> HandleServer(std::size_t index, http::Request request);
   http::Response Append(const std::string& topic, std::string_view records);
   http::Response ReadNewest(const std::string& topic) const;
+  /// Responds with status 410 if the topic ends before `from`.
   http::Response ReadFrom(const std::string& topic, std::int64_t from) const;
   /// True if the engine must crash instead of responding. Requires that `mutex_` is held.
   [[nodiscard]] bool IsDeadly(const Server& server, const http::Request& request) const;
@@ -202,6 +221,8 @@
   std::vector<StoredRecord> records_;
   std::vector<ReceivedRequest> received_;
   bool store_down_ = false;
+  int store_era_ = 1;
+  bool states_era_ = true;
   std::string held_topic_;
   std::string store_address_;
   int max_descriptors_ = 4096;
--- a/tests/support/platform_world_store.cc
+++ b/tests/support/platform_world_store.cc
@@ -105,18 +105,48 @@
       records += BigEndian(key.size() + record.value.size(), kLengthBytes) + key + record.value;
     }
   }
+  if (from > end) {
+    return {.status = 410};
+  }
   return {.status = 200,
           .content_type = "application/octet-stream",
           .body = BigEndian(static_cast<std::uint64_t>(end), 8) + BigEndian(0, 8) + records};
 }
 
+PlatformWorld::StoreCopy PlatformWorld::CopyStore() const {
+  const std::scoped_lock lock(mutex_);
+  return records_;
+}
+
+void PlatformWorld::RestoreStore(StoreCopy copy) {
+  const std::scoped_lock lock(mutex_);
+  records_ = std::move(copy);
+  ++store_era_;
+}
+
+void PlatformWorld::HideStoreEra() {
+  const std::scoped_lock lock(mutex_);
+  states_era_ = false;
+}
+
 asio::awaitable<http::Response> PlatformWorld::HandleStore(http::Request request) {
+  std::optional<int> era;
+  http::Response response = co_await HandleStoreCall(std::move(request), era);
+  if (era) {
+    response.fields.push_back({.name = "Store-Era", .value = absl::StrCat(*era)});
+  }
+  co_return response;
+}
+
+asio::awaitable<http::Response> PlatformWorld::HandleStoreCall(http::Request request,
+                                                               std::optional<int>& era) {
   const std::string topic = http::QueryParameter(request.target, "topic");
   const std::string from = http::QueryParameter(request.target, "from");
   asio::steady_timer timer(co_await asio::this_coro::executor);
   for (int polls = 0;; ++polls) {
     {
       const std::scoped_lock lock(mutex_);
+      era = states_era_ ? std::optional(store_era_) : std::nullopt;
       if (store_down_) {
         ++refused_store_calls_;
         co_return http::Response{.status = 503};
@@ -132,7 +162,7 @@
         auto page = ReadFrom(topic, std::stoll(from));
         constexpr std::size_t kEmptyPageBytes = 16;
         constexpr int kMaxLongPolls = 50;
-        if (page.body.size() > kEmptyPageBytes || polls > kMaxLongPolls) {
+        if (page.status != 200 || page.body.size() > kEmptyPageBytes || polls > kMaxLongPolls) {
           co_return page;
         }
       }
