Accept server records without a start time

The users' example of a server record has no `born`, so that requiring it would leave no backend server to send to. A start time that is stated must still be in range.

--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -182,6 +182,14 @@
   CHECK(!DecodeServer(WithMember(ServerJson(), "/born", "1700000000000.5")).ok());
 }
 
+TEST_CASE("a server record without a start time is usable") {
+  json value = ServerJson();
+  value.erase("born");
+  const auto server = DecodeServer(value.dump());
+  REQUIRE(server.ok());
+  CHECK(server->start_time_ms == 0);
+}
+
 TEST_CASE("a configuration with a number out of range is rejected") {
   for (const char* field :
        {"/version", "/routes/0/timeout_ms", "/routes/0/slo_ms", "/routes/0/max_attempts",
