Answer every request that was read before a stop

Callers that sent a request in the last moments of a planned stop saw their connection end in order, without a byte: the gateway had read the request, and its log doesn't name it. The stop looked at requests that are being served. The first read on a connection often succeeds at once; its completion waits in the event loop's queue, and the drain timer ahead of it stopped the loop. A loop that came later than 350 ms after the stop also gave up answers that were due, as it stopped before the aborted attempts could write them.

Now sessions count that read or have read a request and haven't written its answer. From the answer deadline on the listening port is closed, after what waits there has been accepted once; from the stop on no read begins and reads of requests that aren't whole are cancelled. So what may still be owed is bounded, and the process ends once nothing is, at the latest 350 ms after the stop, or 30 ms after it began to answer if it was held up. Idle connections whose input waits aren't closed. Requests that weren't whole are logged as `request_cut`.

--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -70,13 +70,36 @@
 }
 
 void CallerSession::CloseIfIdle() {
-  if (idle_since_) {
+  ErrorCode ignored;
+  if (idle_since_ && socket_.available(ignored) == 0) {
     idle_since_.reset();
+    socket_.cancel(ignored);
+  }
+}
+
+void CallerSession::StopReading() {
+  if (state_ == State::kReading) {
+    // Has no effect on a read that has ended, whose completion is still queued.
     ErrorCode ignored;
     socket_.cancel(ignored);
   }
 }
 
+bool CallerSession::owes_answer() const {
+  const auto exchange = exchange_.lock();
+  return state_ == State::kReading ||
+         (state_ == State::kAnswering && (exchange == nullptr || !exchange->stream_begun()));
+}
+
+void CallerSession::LogCutByStop() {
+  if (const auto exchange = exchange_.lock(); exchange != nullptr) {
+    exchange->LogCutByStop();
+  } else if (owes_answer()) {
+    context_.log.Write(Severity::kState, "request_cut",
+                       {{"outcome", "cut_by_stop"}, {"whole", state_ == State::kAnswering}});
+  }
+}
+
 asio::awaitable<bool> CallerSession::WaitForRequest() {
   if (buffer_.size() > 0) {
     co_return true;
@@ -126,6 +149,11 @@
                               asio::redirect_error(asio::use_awaitable, error));
   }
   timer_.cancel();
+  if (error == asio::error::operation_aborted && !timed_out_) {
+    LogCutByStop();
+    co_return ReadResult::kClosed;
+  }
+  state_ = State::kAnswering;
   if (error) {
     co_return co_await RejectUnreadable(error);
   }
@@ -212,6 +240,7 @@
                            .configuration_version = configuration->version,
                            .arrived = arrived};
   const auto exchange = std::make_shared<Exchange>(context_, writer_, std::move(accepted));
+  exchange_ = exchange;
   WatchForDisconnect(exchange);
   const bool complete = co_await exchange->Run();
   ErrorCode ignored;
@@ -222,6 +251,7 @@
 
 asio::awaitable<void> CallerSession::LingeringClose() {
   // Closing a socket with unread input sends a reset, which could discard the response in transit.
+  state_ = State::kClosing;
   ErrorCode error;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
   SetReadTimeout(kLingeringCloseTimeout);
@@ -244,6 +274,10 @@
     if (!co_await WaitForRequest()) {
       break;
     }
+    if (!context_.drain.MayRead(Now())) {
+      break;
+    }
+    state_ = State::kReading;
     Parser parser;
     const ReadResult result = co_await ReadRequest(parser);
     if (result == ReadResult::kClosed) {
@@ -263,7 +297,9 @@
       co_await LingeringClose();
     }
     open = complete && !writer_.close_after_response();
+    state_ = State::kWaiting;
   }
+  state_ = State::kClosing;
   ErrorCode ignored;
   socket_.close(ignored);
 }
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -24,8 +24,16 @@
 
   /// Serves the connection until it closes. Keeps `session` alive meanwhile.
   static asio::awaitable<void> Run(std::shared_ptr<CallerSession> session);
-  /// Closes the connection if no request is in progress on it.
+  /// Closes the connection if no request is in progress on it or waits to be read.
   void CloseIfIdle();
+  /// Ends the read of a request that is not whole, and closes the connection then.
+  void StopReading();
+  /// True if a request was read, or is being read, and its answer is neither written nor a stream
+  /// that has begun.
+  [[nodiscard]] bool owes_answer() const;
+  /// Logs that the process stops before it has answered a request that was read at least in part,
+  /// if this is so.
+  void LogCutByStop();
   /// Since when the connection has waited for a request; absent while one is in progress.
   [[nodiscard]] std::optional<Time> idle_since() const { return idle_since_; }
 
@@ -35,6 +43,9 @@
   /// Result of reading a request; kRejected means that an error response was written.
   enum class ReadResult { kRequest, kClosed, kRejected };
 
+  /// What the connection is used for.
+  enum class State { kWaiting, kReading, kAnswering, kClosing };
+
   asio::awaitable<void> ServeRequests();
   asio::awaitable<bool> WaitForRequest();
   asio::awaitable<ReadResult> ReadRequest(Parser& parser);
@@ -55,6 +66,9 @@
   asio::steady_timer timer_;
   asio::steady_timer disconnect_timer_;
   CallerWriter writer_;
+  State state_ = State::kWaiting;
+  /// The request that is being served, if any.
+  std::weak_ptr<Exchange> exchange_;
   std::optional<Time> idle_since_;
   bool timed_out_ = false;
 };
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -46,8 +46,8 @@
   /// Aborts the request if its response has not begun, as the process stops soon. The caller gets a
   /// failure then.
   void EndBeforeStop();
-  /// True if the caller has received a part of the response.
-  [[nodiscard]] bool response_begun() const { return writer_.response_begun(); }
+  /// True if the caller has received a part of the response, which is a stream.
+  [[nodiscard]] bool stream_begun() const { return stream_begun_; }
   /// Logs that the process stops before the response is complete.
   void LogCutByStop();
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -38,9 +38,11 @@
 /// Margin before the end of the shutdown grace period; the process stops then even if requests are
 /// running.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
-/// Longest time beyond the stop that is taken for answers to requests without a response.
-constexpr Duration kLateAnswerTime = std::chrono::milliseconds(350);
 constexpr milliseconds kDrainPollInterval{50};
+/// This interval once answers are due.
+constexpr milliseconds kAnswerPollInterval{10};
+/// Largest number of connections that are accepted in one go before the listening port closes.
+constexpr int kMaxLastConnections = 256;
 /// Descriptors that are not available to callers' and backend servers' connections: listening
 /// ports, peers, store, log and files.
 constexpr std::size_t kReservedDescriptors = 300;
@@ -218,7 +220,7 @@
     for (;;) {
       co_await caller_acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read,
                                            asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
+      if (error || !caller_acceptor_.is_open()) {
         co_return;
       }
       // One connection between two polls: on an overloaded host, requests in progress come first.
@@ -308,25 +310,39 @@
                         {"loop_late_ms", Milliseconds(context_.monitor.lag())}});
   }
 
+  /// Closes the listening port, so that what is left to answer is bounded. Requests on connections
+  /// that wait there are refused if the time suffices for reading them.
+  void StopAccepting(Time now) {
+    if (!caller_acceptor_.is_open()) {
+      return;
+    }
+    ErrorCode error;
+    for (int i = 0; i < kMaxLastConnections && !error && context_.drain.MayRead(now); ++i) {
+      error = AcceptCaller();
+    }
+    caller_acceptor_.close(error);
+  }
+
   /// Does the work of a draining process that is due.
   /// \return True if the process is to stop.
   bool ContinueDrain(Time now) {
-    if (now >= context_.drain.answer_deadline()) {
+    auto& drain = context_.drain;
+    if (now >= drain.answer_deadline()) {
+      drain.BeginAnswering(now);
+      StopAccepting(now);
       std::ranges::for_each(*context_.exchanges, &Exchange::EndBeforeStop);
     }
-    if (now >= context_.drain.stop()) {
-      const bool all_begun = std::ranges::all_of(*context_.exchanges, &Exchange::response_begun);
-      return all_begun || now >= context_.drain.stop() + kLateAnswerTime;
-    }
-    if (!context_.drain.BalancerHasNoticed(now)) {
-      return false;
+    if (!drain.MayRead(now)) {
+      std::ranges::for_each(*context_.sessions, &CallerSession::StopReading);
     }
-    if (context_.sessions->empty() && context_.exchanges->empty() &&
-        AcceptCaller() == asio::error::would_block) {
-      return true;
+    if (drain.BalancerHasNoticed(now)) {
+      std::ranges::for_each(*context_.sessions, &CallerSession::CloseIfIdle);
     }
-    std::ranges::for_each(*context_.sessions, &CallerSession::CloseIfIdle);
-    return false;
+    const bool has_connections = !context_.sessions->empty() ||
+                                 (drain.BalancerHasNoticed(now) && caller_acceptor_.is_open() &&
+                                  AcceptCaller() != asio::error::would_block);
+    const bool owes_answer = std::ranges::any_of(*context_.sessions, &CallerSession::owes_answer);
+    return drain.MayEnd({.has_connections = has_connections, .owes_answer = owes_answer}, now);
   }
 
   asio::awaitable<void> HandleStopSignal() {
@@ -336,10 +352,11 @@
     }
     asio::steady_timer timer(io_);
     do {
-      timer.expires_after(kDrainPollInterval);
+      const bool answering = Now() >= context_.drain.answer_deadline();
+      timer.expires_after(answering ? kAnswerPollInterval : kDrainPollInterval);
       co_await timer.async_wait(asio::use_awaitable);
     } while (!ContinueDrain(Now()));
-    std::ranges::for_each(*context_.exchanges, &Exchange::LogCutByStop);
+    std::ranges::for_each(*context_.sessions, &CallerSession::LogCutByStop);
     io_.stop();
   }
 
--- a/packages/policy/include/lagoonwind/drain_admission.h
+++ b/packages/policy/include/lagoonwind/drain_admission.h
@@ -16,6 +16,19 @@
   double expected_time_fraction = 0.5;
   /// Time before the stop at which requests that have no response yet are answered with a failure.
   Duration answer_margin = std::chrono::milliseconds(400);
+  /// Longest time beyond the stop that is taken for answers that are due.
+  Duration late_answer_time = std::chrono::milliseconds(350);
+  /// Time for these answers if the process was held up until after that.
+  Duration min_answer_time = std::chrono::milliseconds(30);
+};
+
+/// What a draining process still has to do.
+struct DrainWork {
+  /// True if connections are open or wait to be accepted.
+  bool has_connections = false;
+  /// True if a request was read, or is being read, and its answer is neither written nor a stream
+  /// that has begun.
+  bool owes_answer = false;
 };
 
 /// Decides which requests a process that was told to stop still accepts. While callers cannot avoid
@@ -36,6 +49,13 @@
   /// Time at which requests without a response must be answered with a failure, so that callers
   /// receive it before the stop. Precondition: draining().
   [[nodiscard]] Time answer_deadline() const { return *stop_ - options_.answer_margin; }
+  /// Must be called when the process begins to answer, at answer_deadline() or later. Later calls
+  /// have no effect.
+  void BeginAnswering(Time now);
+  /// True if the process still begins to read requests, if only to refuse them.
+  [[nodiscard]] bool MayRead(Time now) const { return !draining() || now < *stop_; }
+  /// True if the process may end. A request that was read is not given up before the last moment.
+  [[nodiscard]] bool MayEnd(const DrainWork& work, Time now) const;
   /// True once the load balancer is expected to have noticed the drain.
   [[nodiscard]] bool BalancerHasNoticed(Time now) const;
 
@@ -54,6 +74,7 @@
   DrainAdmissionOptions options_;
   Time started_{};
   std::optional<Time> stop_;
+  std::optional<Time> answering_since_;
 };
 
 }  // namespace lagoonwind::policy
--- a/packages/policy/src/drain_admission.cc
+++ b/packages/policy/src/drain_admission.cc
@@ -11,6 +11,24 @@
   }
 }
 
+void DrainAdmission::BeginAnswering(Time now) {
+  if (!answering_since_) {
+    answering_since_ = now;
+  }
+}
+
+bool DrainAdmission::MayEnd(const DrainWork& work, Time now) const {
+  if (!draining()) {
+    return false;
+  }
+  if (now < *stop_) {
+    return BalancerHasNoticed(now) && !work.has_connections && !work.owes_answer;
+  }
+  const Time answering_since = answering_since_.value_or(now);
+  return !work.owes_answer || now >= std::max(*stop_ + options_.late_answer_time,
+                                              answering_since + options_.min_answer_time);
+}
+
 bool DrainAdmission::BalancerHasNoticed(Time now) const {
   return draining() && now - started_ >= options_.balancer_notice_time;
 }
--- a/tests/unit/drain_admission_test.cc
+++ b/tests/unit/drain_admission_test.cc
@@ -71,6 +71,37 @@
   CHECK(drain.stop() == At(kStopMs));
 }
 
+TEST_CASE("a request that was read before the stop keeps the process until it is answered") {
+  DrainAdmission drain = Draining();
+  CHECK(drain.MayRead(At(kStopMs - 1)));
+  CHECK(!drain.MayRead(At(kStopMs)));
+  drain.BeginAnswering(At(kStopMs - 400));
+  constexpr DrainWork kOwes{.has_connections = true, .owes_answer = true};
+  constexpr DrainWork kStreams{.has_connections = true, .owes_answer = false};
+  CHECK(!drain.MayEnd(kStreams, At(kStopMs - 1)));
+  CHECK(drain.MayEnd(kStreams, At(kStopMs)));
+  CHECK(!drain.MayEnd(kOwes, At(kStopMs)));
+  CHECK(!drain.MayEnd(kOwes, At(kStopMs + 349)));
+  CHECK(drain.MayEnd(kOwes, At(kStopMs + 350)));
+}
+
+TEST_CASE("a process without connections ends once the load balancer has noticed the drain") {
+  const DrainAdmission drain = Draining();
+  CHECK(!drain.MayEnd({}, At(2499)));
+  CHECK(drain.MayEnd({}, At(2500)));
+  CHECK(!DrainAdmission().MayEnd({}, At(100000)));
+}
+
+TEST_CASE("a process that was held up until after its stop gets time for the answers it owes") {
+  DrainAdmission drain = Draining();
+  drain.BeginAnswering(At(kStopMs + 400));
+  drain.BeginAnswering(At(kStopMs + 410));
+  constexpr DrainWork kOwes{.has_connections = true, .owes_answer = true};
+  CHECK(!drain.MayEnd(kOwes, At(kStopMs + 400)));
+  CHECK(!drain.MayEnd(kOwes, At(kStopMs + 429)));
+  CHECK(drain.MayEnd(kOwes, At(kStopMs + 430)));
+}
+
 TEST_CASE("however long responses take, none of a request accepted late is cut at the stop") {
   const DrainAdmission drain = Draining();
   std::mt19937 random(27);
