Do not use a server whose record lacks slots or cold_left_ms

Records of sound servers have all their fields; one that lacks some comes from another writer and names no server to use. A record without `slots` or `cold_left_ms` counted as one slot and a warm server.

--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -207,6 +207,18 @@
   CHECK(later->configuration->version > earlier->configuration->version);
 }
 
+TEST_CASE("a server record without a field is not usable") {
+  for (const char* field :
+       {"backend", "addr", "zone", "slots", "state", "cold_left_ms", "seq", "born"}) {
+    CAPTURE(field);
+    json record = ServerJson();
+    record.erase(field);
+    CHECK(!DecodeServer(record.dump()).ok());
+    record[field] = json::array();
+    CHECK(!DecodeServer(record.dump()).ok());
+  }
+}
+
 TEST_CASE("a server record without a usable address is not usable") {
   for (const char* address :
        {"", ":", "1.2.3.4", "1.2.3.4:", ":80", "1.2.3.4:0", "1.2.3.4:70000", "1.2.3.4:-1",
