--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -231,6 +231,15 @@
   }
 }
 
+TEST_CASE("a key that no header field can carry names no server") {
+  for (const std::string& key :
+       {std::string(), std::string("i-1\r\nX-Tenant: other"), std::string("i-1\0", 4),
+        std::string("i\n1"), std::string(" i-1"), std::string("i-1\t"), std::string("i\x7f")}) {
+    CAPTURE(key);
+    CHECK(!DecodeServer(ServerJson().dump(), key).ok());
+  }
+}
+
 TEST_CASE("an unusable record in place of a good one neither ends nor outlives the server's use") {
   FleetFixture fixture;
   fixture.Put("i-1", ServerJson().dump());
