--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -240,6 +240,31 @@
   }
 }
 
+TEST_CASE("limits of another type do not replace the limits by zero") {
+  for (const char* text : {"[]", "5", "\"a\""}) {
+    CHECK(!DecodeConfiguration(WithMember(ConfigurationJson(), "/limits", text)).ok());
+  }
+  for (const char* field : {"/limits/max_header_bytes", "/limits/max_body_bytes",
+                            "/limits/header_timeout_ms", "/limits/idle_timeout_ms"}) {
+    CAPTURE(field);
+    CHECK(!DecodeConfiguration(WithMember(ConfigurationJson(), field, "\"5\"")).ok());
+  }
+}
+
+TEST_CASE("a configuration without its list of routes is rejected") {
+  for (const char* field : {"routes", "services", "tenants"}) {
+    CAPTURE(field);
+    json configuration = ConfigurationJson();
+    configuration[field] = json::object();
+    CHECK(!DecodeConfiguration(configuration.dump()).ok());
+    configuration[field] = "text";
+    CHECK(!DecodeConfiguration(configuration.dump()).ok());
+  }
+  json configuration = ConfigurationJson();
+  configuration.erase("routes");
+  CHECK(!DecodeConfiguration(configuration.dump()).ok());
+}
+
 TEST_CASE("an unusable record in place of a good one neither ends nor outlives the server's use") {
   FleetFixture fixture;
   fixture.Put("i-1", ServerJson().dump());
