Bound what an odd record adds to a log line

The error of the JSON parser quotes the last token, and an unknown type of a route was quoted in full, so that one record of 256 KiB made a line of that length, half of the log's buffer; lines about configurations have no rate limit.

--- a/packages/gateway/src/event_log.cc
+++ b/packages/gateway/src/event_log.cc
@@ -28,6 +28,9 @@
 constexpr std::size_t kPipeWriteBytes = 4096;
 /// Typical length of a line, in bytes.
 constexpr std::size_t kLineBytes = 512;
+/// Longest part of a text that a line contains, in bytes: longer than the texts of sound requests
+/// and records.
+constexpr std::size_t kMaxTextBytes = 2048;
 /// Longest text of a number.
 constexpr std::size_t kNumberBytes = 32;
 
@@ -44,6 +47,7 @@
 }
 
 void AppendText(std::string_view text, std::string& out) {
+  text = text.substr(0, kMaxTextBytes);
   if (std::ranges::all_of(text, IsPlainCharacter)) {
     out.append(1, '"').append(text).append(1, '"');
   } else {
--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -265,6 +265,21 @@
   CHECK(!DecodeConfiguration(configuration.dump()).ok());
 }
 
+TEST_CASE("an error about a record is bounded") {
+  constexpr std::size_t kMaxErrorBytes = 1000;
+  const std::string text(200'000, 'a');
+  for (const std::string& value :
+       {"{\"version\": \"" + text,
+        WithMember(ConfigurationJson(), "/routes/0/type", '"' + text + '"'), "{" + text}) {
+    const auto change = DecodeConfiguration(value);
+    REQUIRE(!change.ok());
+    CHECK(change.status().message().size() < kMaxErrorBytes);
+  }
+  json record = ServerJson();
+  record["addr"] = text;
+  CHECK(DecodeServer(record.dump()).status().message().size() < kMaxErrorBytes);
+}
+
 TEST_CASE("an unusable record in place of a good one neither ends nor outlives the server's use") {
   FleetFixture fixture;
   fixture.Put("i-1", ServerJson().dump());
@@ -292,4 +307,12 @@
   CHECK(fixture.Addresses().empty());
 }
 
+TEST_CASE("a log field holds a bounded part of a text") {
+  constexpr std::size_t kMaxBytes = 20'000;
+  std::string text;
+  gateway::LogValue(std::string(250'000, '\x01')).AppendTo(text);
+  CHECK(text.size() < kMaxBytes);
+  CHECK(json::parse(text).is_string());
+}
+
 }  // namespace lagoonwind::users_platform
