Bound the bytes of the changes that are kept for peers

A gateway keeps the last 512 changes of a topic for peers that lag behind. An odd record of 250 kB that was rewritten again and again made that 125 MB, more than the 110 MB of memory of a host; a process beyond its memory is ended. The changes now take 4 MiB at most; a peer that lags further gets all records, as it does today beyond 512 changes. Sound records have a few hundred bytes, so that 512 of them stay far below.

--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -1,6 +1,8 @@
 #include "fleet_state.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 
 #include "clock.h"
 
@@ -16,9 +18,15 @@
 constexpr Duration kPeerStoreStatusTtl = std::chrono::seconds(1);
 /// Number of changes of a topic that are kept for peers that lag behind.
 constexpr std::size_t kMaxRecentChanges = 512;
+/// Bytes of these changes; a small part of the memory of a host.
+constexpr std::size_t kMaxRecentChangeBytes = 4UL << 20U;
 /// Cold-start period assumed for a backend server that may have restarted or been evacuated.
 constexpr Duration kDefaultColdTime = std::chrono::seconds(3);
 
+std::size_t SizeOf(const Record& record) {
+  return record.key.size() + (record.value ? record.value->size() : 0);
+}
+
 }  // namespace
 
 std::int64_t FleetState::offset(Topic topic) const {
@@ -54,7 +62,10 @@
     return;
   }
   changes.insert(changes.end(), page.records.begin(), page.records.end());
-  while (changes.size() > kMaxRecentChanges) {
+  std::size_t bytes =
+      std::transform_reduce(changes.begin(), changes.end(), std::size_t{0}, std::plus<>(), SizeOf);
+  while (changes.size() > kMaxRecentChanges || bytes > kMaxRecentChangeBytes) {
+    bytes -= SizeOf(changes.front());
     changes.pop_front();
   }
 }
--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -307,6 +307,24 @@
   CHECK(fixture.Addresses().empty());
 }
 
+TEST_CASE("an odd record that is rewritten often does not fill the memory") {
+  constexpr std::size_t kMaxBytes = 8UL << 20U;
+  const std::string large(250'000, '[');
+  FleetFixture fixture;
+  for (int i = 0; i < 500; ++i) {
+    fixture.Put("odd", large);
+  }
+  std::size_t kept = 0;
+  for (std::int64_t offset = 0; offset <= fixture.offset; ++offset) {
+    if (const auto changes = fixture.fleet.ChangesSince(Topic::kServers, offset)) {
+      kept = std::max(kept, changes->records.size() * large.size());
+    }
+  }
+  CHECK(kept <= kMaxBytes);
+  fixture.Put("i-1", ServerJson().dump());
+  CHECK(fixture.fleet.ChangesSince(Topic::kServers, fixture.offset - 1)->records.size() == 1);
+}
+
 TEST_CASE("a log field holds a bounded part of a text") {
   constexpr std::size_t kMaxBytes = 20'000;
   std::string text;
