--- /dev/null
+++ b/tests/unit/record_store_test.cc
@@ -0,0 +1,92 @@
+#include <absl/strings/escaping.h>
+#include <doctest/doctest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "lagoonwind/http.h"
+#include "lagoonwind/users_platform.h"
+
+namespace lagoonwind::users_platform {
+namespace {
+
+namespace asio = http::asio;
+using gateway::Record;
+using gateway::RecordPage;
+using gateway::Topic;
+using nlohmann::json;
+
+/// A store that lists one record per page, in the order of their keys.
+class PagedStore {
+ public:
+  explicit PagedStore(std::map<std::string, std::string> records) : records_(std::move(records)) {
+    (void)http::Listen(acceptor_, *http::ParseEndpoint("127.0.0.1:0"));
+    const http::Handler handler = [this](http::Request request) -> asio::awaitable<http::Response> {
+      co_return Respond(request);
+    };
+    asio::co_spawn(io_, http::Serve(acceptor_, handler, 0), asio::detached);
+  }
+
+  absl::StatusOr<RecordPage> ReadNewest() {
+    const auto store = MakeRecordStore(http::FormatEndpoint(acceptor_.local_endpoint()));
+    std::optional<absl::StatusOr<RecordPage>> result;
+    asio::co_spawn(io_, store->ReadNewest(Topic::kServers),
+                   [&](const std::exception_ptr&, absl::StatusOr<RecordPage> page) {
+                     result = std::move(page);
+                     io_.stop();
+                   });
+    io_.run();
+    return *std::move(result);
+  }
+
+ private:
+  http::Response Respond(const http::Request& request) {
+    if (++calls_ > kMaxCalls) {
+      return {.status = 503};
+    }
+    const auto next = request.target.find("&after=") == std::string::npos
+                          ? records_.begin()
+                          : records_.upper_bound(http::QueryParameter(request.target, "after"));
+    json items = json::array();
+    if (next != records_.end()) {
+      items.push_back({{"key", next->first}, {"value", absl::Base64Escape(next->second)}});
+    }
+    const bool has_more = next != records_.end() && std::next(next) != records_.end();
+    return {.status = 200,
+            .content_type = "application/json",
+            .body = json{{"items", items}, {"has_more", has_more}, {"end", 9}}.dump()};
+  }
+
+  static constexpr int kMaxCalls = 40;
+
+  asio::io_context io_;
+  http::Tcp::acceptor acceptor_{io_};
+  std::map<std::string, std::string> records_;
+  int calls_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("no page of records is skipped or repeated, whatever the keys hold") {
+  std::map<std::string, std::string> records;
+  for (const char* key : {"a b", "a%7eb", "a&b", "a+b", "a=b", "a#b", "a?b", "a\r\nb", "a\tb",
+                          "a\"b", "a\\b", "a/b", "a\xc3\xa9", "\x01", "b", "~"}) {
+    records[key] = "value";
+  }
+  PagedStore store(records);
+  const auto page = store.ReadNewest();
+  REQUIRE(page.ok());
+  REQUIRE(page->records.size() == records.size());
+  auto expected = records.begin();
+  for (const Record& record : page->records) {
+    CHECK(record.key == (expected++)->first);
+  }
+  CHECK(page->next_offset == 9);
+}
+
+}  // namespace lagoonwind::users_platform
