--- a/tests/unit/record_store_test.cc
+++ b/tests/unit/record_store_test.cc
@@ -70,6 +70,14 @@
   int calls_ = 0;
 };
 
+std::string BigEndian(std::uint64_t value, int bytes) {
+  std::string out;
+  for (int i = bytes - 1; i >= 0; --i) {
+    out.push_back(static_cast<char>(value >> (8 * i)));
+  }
+  return out;
+}
+
 }  // namespace
 
 TEST_CASE("no page of records is skipped or repeated, whatever the keys hold") {
@@ -89,4 +97,25 @@
   CHECK(page->next_offset == 9);
 }
 
+TEST_CASE("a record without a valid key does not hide the records after it") {
+  const std::string sound = EncodeRecord({.key = "k", .value = "v"});
+  for (const std::string& content :
+       {std::string(),
+        std::string("\x05"
+                    "abc"),
+        std::string("\xff"), std::string("\0", 1), std::string("\0value", 6)}) {
+    CAPTURE(content);
+    const std::string odd = BigEndian(content.size(), 4) + content;
+    const std::string body = BigEndian(13, 8) + BigEndian(0, 8) + sound + odd + sound;
+    const auto page = DecodeRecordPage(body, 10);
+    REQUIRE(page.ok());
+    CHECK(page->next_offset == 13);
+    REQUIRE(page->records.size() == 3);
+    CHECK(page->records[0].key == "k");
+    CHECK(page->records[1].key.empty());
+    CHECK(page->records[2].key == "k");
+    CHECK(page->records[2].value == "v");
+  }
+}
+
 }  // namespace lagoonwind::users_platform
