--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -215,6 +215,18 @@
   CHECK(later->configuration->version > earlier->configuration->version);
 }
 
+TEST_CASE("a server record without a field is not usable") {
+  for (const char* field :
+       {"backend", "addr", "zone", "slots", "state", "cold_left_ms", "seq", "born"}) {
+    CAPTURE(field);
+    json record = ServerJson();
+    record.erase(field);
+    CHECK(!DecodeServer(record.dump()).ok());
+    record[field] = json::array();
+    CHECK(!DecodeServer(record.dump()).ok());
+  }
+}
+
 TEST_CASE("a server record without a usable address is not usable") {
   for (const char* address :
        {"", ":", "1.2.3.4", "1.2.3.4:", ":80", "1.2.3.4:0", "1.2.3.4:70000", "1.2.3.4:-1",
@@ -227,6 +239,55 @@
   }
 }
 
+TEST_CASE("a key that no header field can carry names no server") {
+  for (const std::string& key :
+       {std::string(), std::string("i-1\r\nX-Tenant: other"), std::string("i-1\0", 4),
+        std::string("i\n1"), std::string(" i-1"), std::string("i-1\t"), std::string("i\x7f")}) {
+    CAPTURE(key);
+    CHECK(!DecodeServer(ServerJson().dump(), key).ok());
+  }
+}
+
+TEST_CASE("limits of another type do not replace the limits by zero") {
+  for (const char* text : {"[]", "5", "\"a\""}) {
+    CHECK(!DecodeConfiguration(WithMember(ConfigurationJson(), "/limits", text)).ok());
+  }
+  for (const char* field : {"/limits/max_header_bytes", "/limits/max_body_bytes",
+                            "/limits/header_timeout_ms", "/limits/idle_timeout_ms"}) {
+    CAPTURE(field);
+    CHECK(!DecodeConfiguration(WithMember(ConfigurationJson(), field, "\"5\"")).ok());
+  }
+}
+
+TEST_CASE("a configuration without its list of routes is rejected") {
+  for (const char* field : {"routes", "services", "tenants"}) {
+    CAPTURE(field);
+    json configuration = ConfigurationJson();
+    configuration[field] = json::object();
+    CHECK(!DecodeConfiguration(configuration.dump()).ok());
+    configuration[field] = "text";
+    CHECK(!DecodeConfiguration(configuration.dump()).ok());
+  }
+  json configuration = ConfigurationJson();
+  configuration.erase("routes");
+  CHECK(!DecodeConfiguration(configuration.dump()).ok());
+}
+
+TEST_CASE("an error about a record is bounded") {
+  constexpr std::size_t kMaxErrorBytes = 1000;
+  const std::string text(200'000, 'a');
+  for (const std::string& value :
+       {"{\"version\": \"" + text,
+        WithMember(ConfigurationJson(), "/routes/0/type", '"' + text + '"'), "{" + text}) {
+    const auto change = DecodeConfiguration(value);
+    REQUIRE(!change.ok());
+    CHECK(change.status().message().size() < kMaxErrorBytes);
+  }
+  json record = ServerJson();
+  record["addr"] = text;
+  CHECK(DecodeServer(record.dump()).status().message().size() < kMaxErrorBytes);
+}
+
 TEST_CASE("an unusable record in place of a good one neither ends nor outlives the server's use") {
   FleetFixture fixture;
   fixture.Put("i-1", ServerJson().dump());
@@ -254,4 +315,30 @@
   CHECK(fixture.Addresses().empty());
 }
 
+TEST_CASE("an odd record that is rewritten often does not fill the memory") {
+  constexpr std::size_t kMaxBytes = 8UL << 20U;
+  const std::string large(250'000, '[');
+  FleetFixture fixture;
+  for (int i = 0; i < 500; ++i) {
+    fixture.Put("odd", large);
+  }
+  std::size_t kept = 0;
+  for (std::int64_t offset = 0; offset <= fixture.offset; ++offset) {
+    if (const auto changes = fixture.fleet.ChangesSince(Topic::kServers, offset)) {
+      kept = std::max(kept, changes->records.size() * large.size());
+    }
+  }
+  CHECK(kept <= kMaxBytes);
+  fixture.Put("i-1", ServerJson().dump());
+  CHECK(fixture.fleet.ChangesSince(Topic::kServers, fixture.offset - 1)->records.size() == 1);
+}
+
+TEST_CASE("a log field holds a bounded part of a text") {
+  constexpr std::size_t kMaxBytes = 20'000;
+  std::string text;
+  gateway::LogValue(std::string(250'000, '\x01')).AppendTo(text);
+  CHECK(text.size() < kMaxBytes);
+  CHECK(json::parse(text).is_string());
+}
+
 }  // namespace lagoonwind::users_platform
