Gateway: a raised idle limit holds for idle connections

Callers reuse a connection for most of the newest idle limit. After a configuration that raised it, the gateway closed connections that were idle already after the older limit, so that a request could cross the close. The limit is now read again when it has passed; one that fell holds from the next wait on, as before.

--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -81,13 +82,20 @@
   if (buffer_.size() > 0) {
     co_return true;
   }
-  const auto configuration = context_.fleet.configuration();
-  const CallerLimits limits = configuration == nullptr ? CallerLimits{} : configuration->limits;
-  SetReadTimeout(limits.idle_timeout);
-  idle_since_ = Now();
+  const Time since = Now();
+  const auto time_left = [&] {
+    const auto configuration = context_.fleet.configuration();
+    const CallerLimits limits = configuration == nullptr ? CallerLimits{} : configuration->limits;
+    return since + limits.idle_timeout - Now();
+  };
   ErrorCode error;
-  co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                              asio::redirect_error(asio::use_awaitable, error));
+  do {
+    SetReadTimeout(std::max(time_left(), Duration{0}));
+    idle_since_ = since;
+    co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                asio::redirect_error(asio::use_awaitable, error));
+    // A newer configuration may have raised the limit meanwhile.
+  } while (error && timed_out_ && time_left() > Duration{0});
   idle_since_.reset();
   timer_.cancel();
   co_return !error;
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -286,7 +286,7 @@
   });
 }
 
-void PlatformWorld::Configure(int version) {
+void PlatformWorld::Configure(int version, milliseconds idle_timeout) {
   json plan = RouteOf("plan", "/plan/", "streaming", "model");
   plan["resumable"] = true;
   json look = RouteOf("look", "/look/", "idempotent", "desk");
@@ -299,7 +299,10 @@
            {"services",
             {{{"name", "model"}, {"engine", {{"slots", 8}, {"kv_capacity", 100000}}}},
              {{"name", "desk"}}}},
-           {"limits", {{"max_header_bytes", 4000}, {"max_body_bytes", 10000}}},
+           {"limits",
+            {{"max_header_bytes", 4000},
+             {"max_body_bytes", 10000},
+             {"idle_timeout_ms", idle_timeout.count()}}},
            {"tenants", {{{"name", "erie"}, {"api_keys", {"key1"}}}}}}
           .dump());
 }
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -106,7 +106,8 @@
   [[nodiscard]] bool AllEnginesUp() const;
   /// Writes a configuration with the routes /plan/ (resumable stream), /chat/ (stream), /book/
   /// (mutating) and /look/ (idempotent, public).
-  void Configure(int version);
+  void Configure(int version,
+                 std::chrono::milliseconds idle_timeout = std::chrono::milliseconds{15000});
   /// Writes a record of the topic `keyed.servers` or `keyed.op`; an empty value deletes it.
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   void Delete(const std::string& topic, const std::string& key);
