--- a/packages/gateway/include/lagoonwind/gateway.h
+++ b/packages/gateway/include/lagoonwind/gateway.h
@@ -97,6 +97,10 @@
   std::vector<Record> records;
   /// Offset at which the next read continues.
   std::int64_t next_offset = 0;
+  /// Generation of the store's history: rises each time the store comes back from a copy that may
+  /// lack the last records. Offsets of different generations can't be compared. 0 if the store
+  /// doesn't state one.
+  std::int64_t generation = 0;
 };
 
 /// Client of the platform's store of keyed records. Implementations must be thread safe.
@@ -104,11 +108,13 @@
  public:
   virtual ~RecordStore() = default;
   /// Reads the latest record of every key.
-  /// \return Unavailable or DeadlineExceeded if the store cannot be reached.
+  /// \return Unavailable or DeadlineExceeded if the store cannot be reached; Aborted if it was
+  /// restored meanwhile.
   virtual asio::awaitable<absl::StatusOr<RecordPage>> ReadNewest(Topic topic) = 0;
   /// Reads the records written at or after an offset.
   /// \param wait  Long-poll time: how long the store holds the call if there is no record yet.
-  /// \return OutOfRange if the store no longer has the records at that offset.
+  /// \return OutOfRange if the store no longer has the records at that offset, or if the topic ends
+  /// before it.
   virtual asio::awaitable<absl::StatusOr<RecordPage>> ReadFrom(Topic topic, std::int64_t offset,
                                                                milliseconds wait) = 0;
   /// Writes a record. After an error the record may or may not have been written.
--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -18,12 +18,61 @@
 constexpr std::size_t kMaxRecentChanges = 512;
 /// Cold-start period assumed for a backend server that may have restarted or been evacuated.
 constexpr Duration kDefaultColdTime = std::chrono::seconds(3);
+/// Time for which an evacuation lasts that a restored store lacks. The operator writes lost records
+/// again well within it; afterwards it costs the capacity of a zone for no reason.
+constexpr Duration kMaxHoldTime = std::chrono::seconds(60);
+/// Time after which a removed server is used again if a restored store still lists it. The store
+/// deletes the record of a server that no longer runs before that.
+constexpr Duration kDoubtTime = std::chrono::seconds(20);
+/// Time after an unstated restore for which the higher offsets of peers are not trusted.
+constexpr Duration kUnstatedRestoreTime = std::chrono::seconds(60);
+
+/// Digest of the keys of a map, of which reports can state any; 0 for none.
+std::int64_t DigestOfKeys(const auto& map) {
+  constexpr std::uint64_t kMask = (std::uint64_t{1} << 48U) - 1;
+  std::uint64_t digest = 0;
+  for (const auto& [key, value] : map) {
+    digest = CombineHashes(digest, StableHash(key));
+  }
+  return map.empty() ? 0 : std::max<std::int64_t>(1, static_cast<std::int64_t>(digest & kMask));
+}
+
+std::string_view NameOf(Topic topic) { return topic == Topic::kOperator ? "operator" : "servers"; }
 
 }  // namespace
 
-std::int64_t FleetState::offset(Topic topic) const {
-  const auto found = offsets_.find(topic);
-  return found == offsets_.end() ? 0 : found->second;
+StorePosition FleetState::position(Topic topic) const {
+  const auto found = positions_.find(topic);
+  return found == positions_.end() ? StorePosition{} : found->second;
+}
+
+bool FleetState::IsNewer(Topic topic, const StorePosition& position, Time now) const {
+  const StorePosition own = this->position(topic);
+  const auto replaced = replaced_at_.find(topic);
+  const bool same_history = replaced == replaced_at_.end() ||
+                            position.generation != own.generation ||
+                            now - replaced->second > kUnstatedRestoreTime;
+  return position > own && same_history;
+}
+
+std::int64_t FleetState::ResolveGeneration(Topic topic, std::int64_t stated) const {
+  const bool only_one = !restored_topics_.contains(topic);
+  return stated == 0 && only_one ? position(topic).generation : stated;
+}
+
+std::int64_t FleetState::held_digest() const { return DigestOfKeys(held_evacuations_); }
+
+bool FleetState::MissesEvacuations(std::int64_t generation, std::int64_t held_by_peer) const {
+  return held_by_peer != 0 && generation == position(Topic::kOperator).generation &&
+         held_by_peer != held_digest() && !known_held_digests_.contains(held_by_peer);
+}
+
+std::map<std::string, milliseconds> FleetState::HeldEvacuations(Time now) const {
+  std::map<std::string, milliseconds> remaining;
+  for (const auto& [key, until] : held_evacuations_) {
+    remaining[key] = std::chrono::duration_cast<milliseconds>(until - now);
+  }
+  return remaining;
 }
 
 const std::map<std::string, std::string>& FleetState::records(Topic topic) const {
@@ -32,15 +81,15 @@
   return found == records_.end() ? kNone : found->second;
 }
 
-std::vector<Record> FleetState::MissingRecords(const std::map<std::string, std::string>& known,
-                                               const RecordPage& page) {
-  std::vector<Record> missing;
+std::vector<std::string> FleetState::AbsentKeys(const std::map<std::string, std::string>& known,
+                                                const RecordPage& page) {
+  std::vector<std::string> absent;
   for (const auto& [key, value] : known) {
     if (std::ranges::find(page.records, key, &Record::key) == page.records.end()) {
-      missing.push_back({.key = key});
+      absent.push_back(key);
     }
   }
-  return missing;
+  return absent;
 }
 
 void FleetState::UpdateRecentChanges(Topic topic, const RecordPage& page, bool complete,
@@ -74,39 +123,139 @@
   return page;
 }
 
-void FleetState::Apply(Topic topic, const RecordPage& page, bool complete, std::string_view source,
+bool FleetState::Apply(Topic topic, const RecordPage& page, bool complete, std::string_view source,
                        Time now) {
-  if (offsets_.empty()) {
+  if (positions_.empty()) {
     // The state of the store is unknown before the first response.
     store_reachable_since_ = now;
   }
-  std::int64_t& offset = offsets_[topic];
-  if (page.next_offset < offset) {
+  const bool is_first = !positions_.contains(topic);
+  const StorePosition previous = position(topic);
+  const StorePosition next = PositionAfter(page);
+  const bool replaces = complete && replaced_topics_.erase(topic) > 0;
+  const bool restored = !is_first && (replaces || next.generation > previous.generation);
+  if ((restored && !complete) || (!restored && next < previous)) {
+    return false;
+  }
+  if (restored) {
+    // Servers whose records were lost have to register again, and what peers report may precede
+    // the restore.
+    store_reachable_since_ = now;
+    peer_reached_store_at_ = {};
+    restored_topics_.insert(topic);
+    if (topic == Topic::kOperator) {
+      ended_evacuations_.clear();
+      known_held_digests_.clear();
+    }
+  }
+  UpdateRecentChanges(topic, page, complete, previous.offset);
+  positions_[topic] = next;
+  if (complete) {
+    for (const std::string& key : AbsentKeys(records_[topic], page)) {
+      ApplyAbsence(topic, key, restored, source, now);
+    }
+  }
+  for (const Record& record : page.records) {
+    if (topic == Topic::kOperator) {
+      ApplyOperatorRecord(record, page.generation, source, now);
+    } else if (topic == Topic::kServers) {
+      ApplyServerRecord(record, restored, now);
+    }
+  }
+  if (restored) {
+    log_.Write(Severity::kState, "store_restored",
+               {{"topic", NameOf(topic)},
+                {"source", source},
+                {"generation", next.generation},
+                {"previous_generation", previous.generation},
+                {"offset", next.offset},
+                {"previous_offset", previous.offset},
+                {"configuration", configuration_version()},
+                {"held_evacuations", held_evacuations_.size()},
+                {"doubtful_servers", doubtful_records_.size()}});
+  }
+  return true;
+}
+
+void FleetState::ApplyAbsence(Topic topic, const std::string& key, bool restored,
+                              std::string_view source, Time now) {
+  if (topic == Topic::kServers) {
+    ApplyServerRecord({.key = key}, restored, now);
     return;
   }
-  UpdateRecentChanges(topic, page, complete, offset);
-  offset = page.next_offset;
-  auto& known = records_[topic];
-  std::vector<Record> changes = complete ? MissingRecords(known, page) : std::vector<Record>{};
-  changes.insert(changes.end(), page.records.begin(), page.records.end());
-  for (const Record& record : changes) {
-    const auto previous = known.find(record.key);
-    const bool unchanged =
-        record.value.has_value() && previous != known.end() && previous->second == *record.value;
-    if (record.value.has_value()) {
-      known[record.key] = *record.value;
-    } else {
-      known.erase(record.key);
+  if (held_evacuations_.contains(key) || key == configuration_key_) {
+    return;
+  }
+  if (restored) {
+    held_evacuations_[key] = now + kMaxHoldTime;
+  } else {
+    ApplyOperatorRecord({.key = key}, position(topic).generation, source, now);
+  }
+}
+
+void FleetState::HistoryReplaced(Topic topic, Time now) {
+  replaced_topics_.insert(topic);
+  replaced_at_[topic] = now;
+}
+
+void FleetState::ApplyNewerConfiguration(const RecordPage& page, std::string_view source,
+                                         Time now) {
+  for (const Record& record : page.records) {
+    const auto change = record.value ? codec_.DecodeOperatorRecord(record)
+                                     : absl::StatusOr<OperatorChange>(OperatorChange{});
+    if (change.ok() && change->configuration != nullptr &&
+        change->configuration->version > configuration_version()) {
+      ApplyOperatorRecord(record, page.generation, source, now);
     }
-    if (topic == Topic::kServers) {
-      ApplyServerRecord(record, now);
-    } else if (topic == Topic::kOperator && !unchanged) {
-      ApplyOperatorRecord(record, source, now);
+  }
+}
+
+void FleetState::HoldEvacuations(const RecordPage& page,
+                                 const std::map<std::string, milliseconds>& remaining,
+                                 std::string_view source, Time now) {
+  if (page.generation != position(Topic::kOperator).generation) {
+    return;
+  }
+  known_held_digests_.insert(DigestOfKeys(remaining));
+  for (const Record& record : page.records) {
+    const auto time = remaining.find(record.key);
+    const bool known =
+        records_[Topic::kOperator].contains(record.key) || ended_evacuations_.contains(record.key);
+    if (time != remaining.end() && !known) {
+      ApplyOperatorRecord(record, page.generation, source, now);
+      held_evacuations_[record.key] = now + std::min<Duration>(time->second, kMaxHoldTime);
+    }
+  }
+}
+
+void FleetState::ExpireHeldRecords(Time now) {
+  const auto held = held_evacuations_;
+  for (const auto& [key, until] : held) {
+    if (now >= until) {
+      ApplyOperatorRecord({.key = key}, position(Topic::kOperator).generation, "timeout", now);
+    }
+  }
+  std::vector<Record> listed;
+  for (const auto& [key, doubtful] : doubtful_records_) {
+    if (now >= doubtful.until) {
+      listed.push_back(doubtful.record);
     }
   }
+  std::ranges::for_each(listed,
+                        [&](const Record& record) { ApplyServerRecord(record, false, now); });
 }
 
-void FleetState::ApplyOperatorRecord(const Record& record, std::string_view source, Time now) {
+void FleetState::ApplyOperatorRecord(const Record& record, std::int64_t generation,
+                                     std::string_view source, Time now) {
+  auto& known = records_[Topic::kOperator];
+  const auto previous = known.find(record.key);
+  if (record.value && previous != known.end() && previous->second == *record.value) {
+    held_evacuations_.erase(record.key);
+    return;
+  }
+  if (!record.value && record.key == configuration_key_) {
+    return;
+  }
   const auto change = codec_.DecodeOperatorRecord(record);
   if (!change.ok()) {
     log_.Write(Severity::kState, "record_not_understood",
@@ -114,23 +263,47 @@
     return;
   }
   if (change->configuration != nullptr) {
-    const std::int64_t known = configuration_ == nullptr ? -1 : configuration_->version;
-    const bool newer = change->configuration->version > known;
-    if (newer) {
-      configuration_ = change->configuration;
+    // Peers copy the record of the newest configuration, not the one that was read last.
+    if (!ApplyConfiguration(change->configuration, generation, source)) {
+      return;
     }
-    log_.Write(Severity::kState, newer ? "configuration_in_force" : "configuration_ignored",
-               {{"version", change->configuration->version},
-                {"known", known},
-                {"source", source},
-                {"routes", change->configuration->routes.size()}});
+    configuration_key_ = record.key;
   }
-  if (change->evacuated_zone.empty()) {
-    return;
+  held_evacuations_.erase(record.key);
+  if (record.value) {
+    known[record.key] = *record.value;
+    ended_evacuations_.erase(record.key);
+  } else {
+    known.erase(record.key);
+    ended_evacuations_.insert(record.key);
   }
-  const std::string& zone = change->evacuated_zone;
+  if (!change->evacuated_zone.empty()) {
+    ApplyEvacuation(change->evacuated_zone, change->evacuation_ended, source, now);
+  }
+}
+
+bool FleetState::ApplyConfiguration(const std::shared_ptr<const Configuration>& configuration,
+                                    std::int64_t generation, std::string_view source) {
+  const std::int64_t known = configuration_version();
+  // A version that the restored store has given out again replaces the lost one.
+  const bool newer = configuration->version > known ||
+                     (configuration->version == known && generation > configuration_generation_);
+  if (newer) {
+    configuration_ = configuration;
+    configuration_generation_ = generation;
+  }
+  log_.Write(Severity::kState, newer ? "configuration_in_force" : "configuration_ignored",
+             {{"version", configuration->version},
+              {"known", known},
+              {"source", source},
+              {"routes", configuration->routes.size()}});
+  return newer;
+}
+
+void FleetState::ApplyEvacuation(const std::string& zone, bool ended, std::string_view source,
+                                 Time now) {
   indexes_outdated_ = true;
-  if (change->evacuation_ended) {
+  if (ended) {
     evacuated_zones_.erase(zone);
     // Backend servers in the zone may have become cold during the evacuation.
     for (auto& [key, known] : servers_) {
@@ -141,34 +314,41 @@
   } else {
     evacuated_zones_.insert(zone);
   }
-  log_.Write(Severity::kState, change->evacuation_ended ? "zone_taken_back" : "zone_evacuated",
+  log_.Write(Severity::kState, ended ? "zone_taken_back" : "zone_evacuated",
              {{"zone", zone}, {"source", source}});
 }
 
-void FleetState::ApplyServerRecord(const Record& record, Time now) {
+void FleetState::ApplyServerRecord(const Record& record, bool restored, Time now) {
+  auto& raw = records_[Topic::kServers];
   if (!record.value.has_value()) {
+    raw.erase(record.key);
+    doubtful_records_.erase(record.key);
     MarkMissing(record.key, now);
     return;
   }
   const auto decoded = codec_.DecodeServer(record);
   const auto known = servers_.find(record.key);
   if (!decoded.ok()) {
+    raw[record.key] = *record.value;
     log_.Write(Severity::kRoutine, "server_not_usable",
                {{"server", record.key}, {"reason", decoded.status().ToString()}});
     return;
   }
   if (known != servers_.end()) {
     const BackendServer& previous = known->second.server;
-    const bool older =
-        decoded->start_time_ms < previous.start_time_ms ||
-        (decoded->start_time_ms == previous.start_time_ms && decoded->sequence < previous.sequence);
-    if (older) {
+    if (AgeOf(*decoded) < AgeOf(previous)) {
       return;
     }
     if (decoded->id != previous.id) {
-      RemoveServer(record.key, "restarted");
+      RemoveServer(record.key, "restarted", now);
     }
+  } else if (restored && departed_servers_.Includes(record.key, *decoded)) {
+    doubtful_records_[record.key] = {.record = record, .until = now + kDoubtTime};
+    return;
   }
+  raw[record.key] = *record.value;
+  doubtful_records_.erase(record.key);
+  departed_servers_.Erase(record.key);
   indexes_outdated_ = true;
   const auto [it, inserted] = servers_.try_emplace(record.key);
   KnownServer& current = it->second;
@@ -200,7 +380,7 @@
     found->second.missing_since = now;
     return;
   }
-  RemoveServer(key, "gone from the store");
+  RemoveServer(key, "gone from the store", now);
 }
 
 void FleetState::StoreRecovered(Time now) {
@@ -211,11 +391,13 @@
 }
 
 Duration FleetState::StoreReachableFor(Time now) const {
-  return store_unreachable_ || offsets_.empty() ? Duration{0} : now - store_reachable_since_;
+  return store_unreachable_ || positions_.empty() ? Duration{0} : now - store_reachable_since_;
 }
 
-void FleetState::PeerReachedStore(Duration reachable_for, Time now) {
-  if (reachable_for >= kStableStoreTime) {
+void FleetState::PeerReachedStore(Duration reachable_for, std::int64_t generation, Time now) {
+  const bool is_current =
+      ResolveGeneration(Topic::kServers, generation) >= position(Topic::kServers).generation;
+  if (reachable_for >= kStableStoreTime && is_current) {
     peer_reached_store_at_ = now;
   }
 }
@@ -233,16 +415,18 @@
       expired.push_back(key);
     }
   }
-  std::ranges::for_each(expired, [&](const auto& key) { RemoveServer(key, "didn't come back"); });
+  std::ranges::for_each(expired,
+                        [&](const auto& key) { RemoveServer(key, "didn't come back", now); });
 }
 
-void FleetState::RemoveServer(const std::string& key, std::string_view reason) {
+void FleetState::RemoveServer(const std::string& key, std::string_view reason, Time now) {
   const auto found = servers_.find(key);
   if (found == servers_.end()) {
     return;
   }
   const BackendServer server = found->second.server;
   servers_.erase(found);
+  departed_servers_.Add(key, server, now);
   indexes_outdated_ = true;
   log_.Write(Severity::kState, "server_gone", {{"server", server.name}, {"reason", reason}});
   if (on_server_removed_) {
--- a/packages/gateway/src/fleet_state.h
+++ b/packages/gateway/src/fleet_state.h
@@ -12,8 +12,10 @@
 #include <string>
 #include <vector>
 
+#include "departed_servers.h"
 #include "event_log.h"
 #include "lagoonwind/gateway.h"
+#include "store_position.h"
 
 namespace lagoonwind::gateway {
 
@@ -43,12 +45,28 @@
     on_server_removed_ = std::move(callback);
   }
 
-  /// Applies records. Ignored if the page's offset is below the last applied one.
+  /// Applies records. All records of a new generation are older evidence than what is known: the
+  /// newest configuration and records of servers stay, and so do evacuations, until a record of the
+  /// new generation ends them.
   /// \param complete  True if the page holds all records: keys that it does not list are removed.
   /// \param source    Origin of the records, for the log.
-  void Apply(Topic topic, const RecordPage& page, bool complete, std::string_view source, Time now);
+  /// \return False if the page was ignored, as it is below the topic's position, or holds changes
+  /// of a later generation.
+  bool Apply(Topic topic, const RecordPage& page, bool complete, std::string_view source, Time now);
+  /// Applies the configuration of the operator's records, whatever their position, if it is newer.
+  void ApplyNewerConfiguration(const RecordPage& page, std::string_view source, Time now);
+  /// Takes over evacuations that a peer holds, unless they have ended here.
+  /// \param page       The evacuations' records.
+  /// \param remaining  Time for which the peer still holds them, by key.
+  void HoldEvacuations(const RecordPage& page, const std::map<std::string, milliseconds>& remaining,
+                       std::string_view source, Time now);
+  /// Notes that the store has replaced the history of a topic without stating a new generation. The
+  /// next complete page is applied as that of a new generation.
+  void HistoryReplaced(Topic topic, Time now);
   /// Removes backend servers whose records disappeared during an outage and did not reappear.
   void RemoveMissingServers(Time now);
+  /// Ends evacuations that the restored store still lacks, and adds servers that it still lists.
+  void ExpireHeldRecords(Time now);
   /// Notes that a call to the store failed.
   void StoreFailed() { store_unreachable_ = true; }
   /// Notes that a call to the store succeeded after a failed one.
@@ -56,7 +74,8 @@
   /// Time for which all calls to the store have succeeded; zero while the store is unreachable.
   [[nodiscard]] Duration StoreReachableFor(Time now) const;
   /// Notes that a peer's calls to the store have all succeeded for `reachable_for`.
-  void PeerReachedStore(Duration reachable_for, Time now);
+  /// \param generation  Generation of the servers' records that the peer has read.
+  void PeerReachedStore(Duration reachable_for, std::int64_t generation, Time now);
   /// Treats the backend server as cold after a failed connection attempt, since it may be
   /// restarting.
   void AssumeRestarted(ServerId server, Time now);
@@ -65,10 +84,26 @@
   [[nodiscard]] std::shared_ptr<const Configuration> configuration() const {
     return configuration_;
   }
-  /// Offset at which the next read of the topic continues; 0 before the first read.
-  [[nodiscard]] std::int64_t offset(Topic topic) const;
-  /// Changes of a topic from an offset on, to bring a peer up to date that has read that far.
-  /// Absent if they are no longer known; then the peer needs all records.
+  /// Version of the configuration, -1 before the first one.
+  [[nodiscard]] std::int64_t configuration_version() const {
+    return configuration_ == nullptr ? -1 : configuration_->version;
+  }
+  /// Position at which the next read of the topic continues; zero before the first read.
+  [[nodiscard]] StorePosition position(Topic topic) const;
+  /// Offset of that position.
+  [[nodiscard]] std::int64_t offset(Topic topic) const { return position(topic).offset; }
+  /// True if records of a peer that has read to this position are newer than the known ones.
+  [[nodiscard]] bool IsNewer(Topic topic, const StorePosition& position, Time now) const;
+  /// Generation of a peer's records; one that states none is of an older version.
+  [[nodiscard]] std::int64_t ResolveGeneration(Topic topic, std::int64_t stated) const;
+  /// Identifies the evacuations that this gateway holds; 0 if there are none.
+  [[nodiscard]] std::int64_t held_digest() const;
+  /// True if a peer holds evacuations that were not copied from any peer yet.
+  [[nodiscard]] bool MissesEvacuations(std::int64_t generation, std::int64_t held_by_peer) const;
+  /// Evacuations in force that the restored store lacks, with the time for which they still are.
+  [[nodiscard]] std::map<std::string, milliseconds> HeldEvacuations(Time now) const;
+  /// Changes of a topic from an offset of the known generation on, to bring a peer up to date that
+  /// has read that far. Absent if they are no longer known; then the peer needs all records.
   [[nodiscard]] std::optional<RecordPage> ChangesSince(Topic topic, std::int64_t offset) const;
   /// Latest records of a topic, served to peers that cannot reach the store.
   [[nodiscard]] const std::map<std::string, std::string>& records(Topic topic) const;
@@ -84,22 +119,47 @@
   /// True if records may have disappeared because of an outage of the store, as opposed to a
   /// network fault between this gateway and the store.
   [[nodiscard]] bool StoreMayHaveBeenDown(Time now) const;
-  void ApplyOperatorRecord(const Record& record, std::string_view source, Time now);
-  void ApplyServerRecord(const Record& record, Time now);
+  /// Applies the absence of a known record from a complete page.
+  /// \param restored  True if the page is the first one of a generation.
+  void ApplyAbsence(Topic topic, const std::string& key, bool restored, std::string_view source,
+                    Time now);
+  void ApplyOperatorRecord(const Record& record, std::int64_t generation, std::string_view source,
+                           Time now);
+  /// \return False if the configuration is not newer than the known one.
+  bool ApplyConfiguration(const std::shared_ptr<const Configuration>& configuration,
+                          std::int64_t generation, std::string_view source);
+  void ApplyEvacuation(const std::string& zone, bool ended, std::string_view source, Time now);
+  /// \param restored  True if the record is of the first page of a generation.
+  void ApplyServerRecord(const Record& record, bool restored, Time now);
   void MarkMissing(const std::string& key, Time now);
-  void RemoveServer(const std::string& key, std::string_view reason);
+  void RemoveServer(const std::string& key, std::string_view reason, Time now);
   /// Builds the indexes of backend servers unless they are up to date.
   void UpdateIndexes() const;
   void UpdateRecentChanges(Topic topic, const RecordPage& page, bool complete,
                            std::int64_t previous_offset);
-  static std::vector<Record> MissingRecords(const std::map<std::string, std::string>& known,
-                                            const RecordPage& page);
+  static std::vector<std::string> AbsentKeys(const std::map<std::string, std::string>& known,
+                                             const RecordPage& page);
 
   const RecordCodec& codec_;
   EventLog& log_;
   ServerRemovedCallback on_server_removed_;
+  /// A record of a restored store that names a backend server which was removed.
+  struct DoubtfulRecord {
+    Record record;
+    Time until;
+  };
+
   std::shared_ptr<const Configuration> configuration_;
+  /// Key of its record, and the generation that the record was read in.
+  std::string configuration_key_;
+  std::int64_t configuration_generation_ = 0;
   absl::flat_hash_set<std::string> evacuated_zones_;
+  /// Record keys of evacuations that the restored store lacks, with the time at which they end.
+  std::map<std::string, Time> held_evacuations_;
+  /// Record keys of evacuations that have ended in the present generation.
+  absl::flat_hash_set<std::string> ended_evacuations_;
+  /// Sets of evacuations that peers held and that were taken over in the present generation.
+  absl::flat_hash_set<std::int64_t> known_held_digests_;
   /// By record key.
   absl::flat_hash_map<std::string, KnownServer> servers_;
   /// Indexes of `servers_`, so that a request does not search all of them; empty and marked as
@@ -107,8 +167,17 @@
   mutable absl::flat_hash_map<std::string, std::vector<const KnownServer*>> eligible_by_service_;
   mutable absl::flat_hash_map<ServerId, const KnownServer*> servers_by_id_;
   mutable bool indexes_outdated_ = true;
+  DepartedServers departed_servers_;
+  /// By record key.
+  absl::flat_hash_map<std::string, DoubtfulRecord> doubtful_records_;
   std::map<Topic, std::map<std::string, std::string>> records_;
-  std::map<Topic, std::int64_t> offsets_;
+  std::map<Topic, StorePosition> positions_;
+  /// Topics of which more than one generation was seen.
+  absl::flat_hash_set<Topic> restored_topics_;
+  /// Topics whose next complete page replaces their history.
+  absl::flat_hash_set<Topic> replaced_topics_;
+  /// When the history of a topic was last replaced without a new generation.
+  std::map<Topic, Time> replaced_at_;
   /// The last changes of each topic, the newest of which led to the topic's offset.
   std::map<Topic, std::deque<Record>> recent_changes_;
   bool store_unreachable_ = false;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -279,6 +279,7 @@
     asio::steady_timer timer(io_);
     for (;;) {
       context_.fleet.RemoveMissingServers(Now());
+      context_.fleet.ExpireHeldRecords(Now());
       context_.pool.CloseExpired(Now());
       context_.log.Flush();
       timer.expires_after(kHousekeepingInterval);
--- a/packages/gateway/src/peers.cc
+++ b/packages/gateway/src/peers.cc
@@ -30,6 +30,8 @@
 constexpr Duration kPeerExpiry = std::chrono::seconds(120);
 /// Interval between reads of the list of gateways in the store.
 constexpr std::chrono::seconds kPeerListInterval{30};
+/// Pause after a failed registration, and between checks for a restored store.
+constexpr std::chrono::seconds kRegistrationRetryPause{1};
 /// Membership changes rarely, so only every twelfth report lists peers.
 constexpr std::int64_t kReportsPerPeerList = 12;
 /// Of the reports that a relay distributes, every third one states the sender's status, unless it
@@ -217,10 +219,15 @@
   if (report.status) {
     peer.zone = HandleOf<ZoneId>(report.status->zone);
     peer.cpu_cores = report.status->cpu_cores;
-    peer.operator_offset = report.status->operator_offset;
-    peer.servers_offset = report.status->servers_offset;
+    peer.operator_position = {.generation = report.status->operator_generation,
+                              .offset = report.status->operator_offset};
+    peer.servers_position = {.generation = report.status->servers_generation,
+                             .offset = report.status->servers_offset};
+    peer.configuration_version = report.status->configuration_version;
+    peer.held_evacuations = report.status->held_evacuations;
     peer.leaving = report.status->leaving;
-    options_.fleet.PeerReachedStore(report.status->store_available_for, peer.last_received);
+    options_.fleet.PeerReachedStore(report.status->store_available_for,
+                                    report.status->servers_generation, peer.last_received);
   }
   std::ranges::for_each(report.known_peers, [this](const std::string& other) {
     if (!peers_.contains(other)) {
@@ -284,16 +291,25 @@
 
 wire::GatewayReport Peers::MakeReport(const policy::ReportPlan& plan, Time now) {
   wire::GatewayReport report{.sender = options_.incarnation, .number = ++report_count_};
-  wire::GatewayStatus status{.operator_offset = options_.fleet.offset(Topic::kOperator),
-                             .servers_offset = options_.fleet.offset(Topic::kServers),
-                             .store_available_for = std::chrono::duration_cast<milliseconds>(
-                                 options_.fleet.StoreReachableFor(now)),
-                             .leaving = leaving_,
-                             .address = options_.settings.ip,
-                             .zone = options_.settings.zone,
-                             .cpu_cores = options_.settings.cpu_cores};
+  const FleetState& fleet = options_.fleet;
+  wire::GatewayStatus status{
+      .operator_offset = fleet.offset(Topic::kOperator),
+      .servers_offset = fleet.offset(Topic::kServers),
+      .operator_generation = fleet.position(Topic::kOperator).generation,
+      .servers_generation = fleet.position(Topic::kServers).generation,
+      .configuration_version = fleet.configuration_version(),
+      .held_evacuations = fleet.held_digest(),
+      .store_available_for = std::chrono::duration_cast<milliseconds>(fleet.StoreReachableFor(now)),
+      .leaving = leaving_,
+      .address = options_.settings.ip,
+      .zone = options_.settings.zone,
+      .cpu_cores = options_.settings.cpu_cores};
   const bool changed = status.operator_offset != last_status_.operator_offset ||
                        status.servers_offset != last_status_.servers_offset ||
+                       status.operator_generation != last_status_.operator_generation ||
+                       status.servers_generation != last_status_.servers_generation ||
+                       status.configuration_version != last_status_.configuration_version ||
+                       status.held_evacuations != last_status_.held_evacuations ||
                        status.leaving != last_status_.leaving ||
                        (status.store_available_for == milliseconds(0)) !=
                            (last_status_.store_available_for == milliseconds(0));
@@ -397,25 +413,51 @@
           AddPeer(record.key);
         }
       });
+      // A restored store may lack the record.
+      registered = std::ranges::find(page->records, options_.settings.ip, &Record::key) !=
+                   page->records.end();
     }
-    timer.expires_after(registered && page.ok() ? kPeerListInterval : std::chrono::seconds(1));
+    if (registered && page.ok()) {
+      co_await AwaitPeerListRead();
+    } else {
+      timer.expires_after(kRegistrationRetryPause);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+}
+
+asio::awaitable<void> Peers::AwaitPeerListRead() {
+  asio::steady_timer timer(io_);
+  const Time until = Now() + kPeerListInterval;
+  const std::int64_t generation = options_.fleet.position(Topic::kServers).generation;
+  while (Now() < until && options_.fleet.position(Topic::kServers).generation == generation) {
+    timer.expires_after(kRegistrationRetryPause);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
+bool Peers::HasNewerRecords(const Peer& peer, Time now) const {
+  const FleetState& fleet = options_.fleet;
+  const auto is_newer = [&](Topic topic, StorePosition position) {
+    position.generation = fleet.ResolveGeneration(topic, position.generation);
+    return fleet.IsNewer(topic, position, now);
+  };
+  return is_newer(Topic::kOperator, peer.operator_position) ||
+         is_newer(Topic::kServers, peer.servers_position) ||
+         peer.configuration_version > fleet.configuration_version() ||
+         fleet.MissesEvacuations(peer.operator_position.generation, peer.held_evacuations);
+}
+
 std::string Peers::FindNewerPeer() const {
-  const std::int64_t operator_offset = options_.fleet.offset(Topic::kOperator);
-  const std::int64_t servers_offset = options_.fleet.offset(Topic::kServers);
+  const Time now = Now();
   const auto own_zone = HandleOf<ZoneId>(options_.settings.zone);
   const std::uint64_t own_hash = StableHash(options_.settings.ip);
   std::string newest;
   // Peers of the own zone first, and each gateway another one, so that no peer has to serve all.
   std::pair<bool, std::uint64_t> best{};
   for (const auto& [address, peer] : peers_) {
-    const bool newer =
-        peer.operator_offset > operator_offset || peer.servers_offset > servers_offset;
     const std::pair rank{peer.zone == own_zone, CombineHashes(own_hash, peer.id.value)};
-    if (peer.is_up && newer && (newest.empty() || rank > best)) {
+    if (peer.is_up && HasNewerRecords(peer, now) && (newest.empty() || rank > best)) {
       newest = address;
       best = rank;
     }
--- a/packages/gateway/src/peers.h
+++ b/packages/gateway/src/peers.h
@@ -73,8 +73,10 @@
     Time last_received{};
     Time last_sent{};
     Time last_listed{};
-    std::int64_t operator_offset = 0;
-    std::int64_t servers_offset = 0;
+    StorePosition operator_position;
+    StorePosition servers_position;
+    std::int64_t configuration_version = -1;
+    std::int64_t held_evacuations = 0;
     bool leaving = false;
     bool is_up = false;
   };
@@ -82,6 +84,8 @@
   asio::awaitable<void> ReceiveReports();
   asio::awaitable<void> SendReports();
   asio::awaitable<void> Register();
+  /// Waits until the list of gateways is to be read again, or the store was restored.
+  asio::awaitable<void> AwaitPeerListRead();
   /// Runs a service for the lifetime of the process.
   void StartService(const char* name, std::function<asio::awaitable<void>()> service);
   /// Sends the reports of one interval.
@@ -104,6 +108,8 @@
   Peer* FindOrAddPeer(const std::string& address);
   void AddPeer(const std::string& address);
   [[nodiscard]] std::string FindNewerPeer() const;
+  /// True if the peer has records that this gateway lacks.
+  [[nodiscard]] bool HasNewerRecords(const Peer& peer, Time now) const;
 
   asio::io_context& io_;
   Options options_;
--- a/packages/gateway/src/record_copier.cc
+++ b/packages/gateway/src/record_copier.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -22,12 +23,16 @@
 constexpr milliseconds kCopyTimeout{1500};
 constexpr std::string_view kRecordsPath = "/records";
 constexpr unsigned kNotFound = 404;
+constexpr const char* kGenerationField = "generation";
+constexpr const char* kHeldField = "held_ms";
+constexpr const char* kConfigurationParameter = "configuration";
 const std::array<std::pair<const char*, Topic>, 2> kCopiedTopics{
     {{"operator", Topic::kOperator}, {"servers", Topic::kServers}}};
 
 /// Decodes a topic: either all of its records, or the changes since the requested offset.
 RecordPage ParsePage(const json& topic) {
-  RecordPage page{.next_offset = topic.at("next_offset")};
+  RecordPage page{.next_offset = topic.at("next_offset"),
+                  .generation = topic.value(kGenerationField, std::int64_t{0})};
   if (topic.contains("changes")) {
     for (const json& change : topic.at("changes")) {
       Record record{.key = change.at("key")};
@@ -56,22 +61,84 @@
   return {{"next_offset", page.next_offset}, {"changes", std::move(changes)}};
 }
 
+std::string GenerationParameter(std::string_view topic) {
+  return absl::StrCat(std::string(topic), "_", kGenerationField);
+}
+
+/// Integer that a request states; absent if it states none.
+std::optional<std::int64_t> IntegerParameter(std::string_view target, std::string_view name) {
+  std::int64_t value = 0;
+  const bool stated = absl::SimpleAtoi(http::QueryParameter(target, name), &value);
+  return stated ? std::optional(value) : std::nullopt;
+}
+
+/// Takes the records of evacuations that the peer holds out of the page.
+RecordPage TakeHeld(RecordPage& page, const std::map<std::string, milliseconds>& held) {
+  RecordPage taken{.next_offset = page.next_offset, .generation = page.generation};
+  const auto rest = std::ranges::stable_partition(
+      page.records, [&](const Record& record) { return !held.contains(record.key); });
+  taken.records.assign(rest.begin(), rest.end());
+  page.records.erase(rest.begin(), rest.end());
+  return taken;
+}
+
 }  // namespace
 
+bool RecordCopier::NeedsAllRecords(std::string_view target, std::string_view name,
+                                   Topic topic) const {
+  const FleetState& fleet = options_.fleet;
+  const auto generation = IntegerParameter(target, GenerationParameter(name));
+  if (generation.value_or(0) != fleet.position(topic).generation) {
+    return true;
+  }
+  const auto configuration = IntegerParameter(target, kConfigurationParameter);
+  return topic == Topic::kOperator &&
+         (configuration.value_or(fleet.configuration_version()) < fleet.configuration_version() ||
+          fleet.held_digest() != 0);
+}
+
 std::string RecordCopier::RecordsJson(std::string_view target) const {
+  const FleetState& fleet = options_.fleet;
   json topics;
   for (const auto& [name, topic] : kCopiedTopics) {
-    std::int64_t from = 0;
-    const std::string parameter = http::QueryParameter(target, name);
-    const bool has_offset = absl::SimpleAtoi(parameter, &from);
-    const auto changes = has_offset ? options_.fleet.ChangesSince(topic, from) : std::nullopt;
-    topics[name] = changes ? ChangesJson(*changes)
-                           : json{{"next_offset", options_.fleet.offset(topic)},
-                                  {"records", options_.fleet.records(topic)}};
+    const auto from = IntegerParameter(target, name);
+    const auto changes = from && !NeedsAllRecords(target, name, topic)
+                             ? fleet.ChangesSince(topic, *from)
+                             : std::nullopt;
+    topics[name] =
+        changes ? ChangesJson(*changes)
+                : json{{"next_offset", fleet.offset(topic)}, {"records", fleet.records(topic)}};
+    topics[name][kGenerationField] = fleet.position(topic).generation;
+  }
+  json& held = topics["operator"][kHeldField] = json::object();
+  for (const auto& [key, remaining] : fleet.HeldEvacuations(Now())) {
+    held[key] = remaining.count();
   }
   return topics.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+void RecordCopier::ApplyCopy(const json& copy) {
+  FleetState& fleet = options_.fleet;
+  for (const auto& [name, topic] : kCopiedTopics) {
+    const json& fields = copy.at(name);
+    RecordPage page = ParsePage(fields);
+    page.generation = fleet.ResolveGeneration(topic, page.generation);
+    std::map<std::string, milliseconds> remaining;
+    const json held_ms = fields.value(kHeldField, json::object());
+    for (const auto& [key, time] : held_ms.items()) {
+      remaining[key] = milliseconds(time.get<std::int64_t>());
+    }
+    const RecordPage held = TakeHeld(page, remaining);
+    if (fleet.IsNewer(topic, PositionAfter(page), Now())) {
+      fleet.Apply(topic, page, fields.contains("records"), "peer", Now());
+    }
+    if (topic == Topic::kOperator) {
+      fleet.ApplyNewerConfiguration(page, "peer", Now());
+      fleet.HoldEvacuations(held, remaining, "peer", Now());
+    }
+  }
+}
+
 asio::awaitable<void> RecordCopier::ServeRecords() {
   const http::Handler handler = [this](http::Request request) -> asio::awaitable<http::Response> {
     if (request.target.substr(0, request.target.find('?')) != kRecordsPath) {
@@ -88,9 +155,13 @@
   std::string target = std::string(kRecordsPath);
   char separator = '?';
   for (const auto& [name, topic] : kCopiedTopics) {
-    absl::StrAppend(&target, std::string(1, separator), name, "=", options_.fleet.offset(topic));
+    const StorePosition position = options_.fleet.position(topic);
+    absl::StrAppend(&target, std::string(1, separator), name, "=", position.offset, "&",
+                    GenerationParameter(name), "=", position.generation);
     separator = '&';
   }
+  absl::StrAppend(&target, "&", kConfigurationParameter, "=",
+                  options_.fleet.configuration_version());
   http::Request request{.target = std::move(target)};
   auto response = co_await http::Fetch(endpoint, std::move(request), kCopyTimeout);
   if (response.ok() && response->status == kNotFound) {
@@ -103,10 +174,7 @@
   }
   const json body = json::parse(response->body, nullptr, false);
   try {
-    for (const auto& [name, topic] : kCopiedTopics) {
-      const json& page = body.at(name);
-      options_.fleet.Apply(topic, ParsePage(page), page.contains("records"), "peer", Now());
-    }
+    ApplyCopy(body);
   } catch (const json::exception& error) {
     co_return absl::DataLossError(error.what());
   }
--- a/packages/gateway/src/record_copier.h
+++ b/packages/gateway/src/record_copier.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 
@@ -35,8 +36,14 @@
 
  private:
   asio::awaitable<absl::Status> CopyFrom(std::string address);
+  /// Applies what is newer in a peer's records.
+  void ApplyCopy(const nlohmann::json& copy);
+  /// True if the changes since the peer's offset would not bring it up to date.
+  [[nodiscard]] bool NeedsAllRecords(std::string_view target, std::string_view name,
+                                     Topic topic) const;
   /// Records that the peer lacks, as JSON.
-  /// \param target  Request target, which states the offsets that the peer has read to.
+  /// \param target  Request target, which states the positions that the peer has read to and the
+  ///                version of its configuration.
   [[nodiscard]] std::string RecordsJson(std::string_view target) const;
 
   Options options_;
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -1,5 +1,7 @@
 #include "store_follower.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -12,31 +14,61 @@
 /// Pause after a failed call.
 constexpr milliseconds kRetryPause{250};
 
+absl::Status OlderGeneration(std::int64_t stated, std::int64_t known) {
+  return absl::AbortedError(absl::StrCat("the store states generation ", stated,
+                                         " of its history, after generation ", known));
+}
+
 }  // namespace
 
-asio::awaitable<absl::Status> StoreFollower::ReadOnce() {
+asio::awaitable<absl::Status> StoreFollower::ReadSnapshot() {
   ++calls_;
+  const StorePosition before = fleet_.position(options_.topic);
+  auto page = co_await store_.ReadNewest(options_.topic);
+  if (!page.ok()) {
+    co_return page.status();
+  }
+  page->generation = page->generation == 0 ? before.generation : page->generation;
+  if (page->generation < before.generation) {
+    co_return OlderGeneration(page->generation, before.generation);
+  }
+  if (page->generation == before.generation && page->next_offset < before.offset) {
+    fleet_.HistoryReplaced(options_.topic, Now());
+  }
+  snapshot_read_ = true;
+  fleet_.Apply(options_.topic, *page, true, "store", Now());
+  co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::Status> StoreFollower::ReadOnce() {
+  started_over_ = false;
   if (!snapshot_read_) {
-    auto page = co_await store_.ReadNewest(options_.topic);
-    if (!page.ok()) {
-      co_return page.status();
-    }
-    snapshot_read_ = true;
-    fleet_.Apply(options_.topic, *page, true, "store", Now());
-    co_return absl::OkStatus();
+    co_return co_await ReadSnapshot();
   }
-  const std::int64_t from = fleet_.offset(options_.topic);
+  ++calls_;
+  const StorePosition from = fleet_.position(options_.topic);
   // After a failure the call does not wait for records, so that a recovery of the store is noticed
   // at once.
   const milliseconds wait = connected_ ? options_.wait : milliseconds(0);
-  auto page = co_await store_.ReadFrom(options_.topic, from, wait);
+  auto page = co_await store_.ReadFrom(options_.topic, from.offset, wait);
   if (absl::IsOutOfRange(page.status())) {
+    log_.Write(Severity::kState, "store_history_gone",
+               {{"topic", options_.name},
+                {"from", from.offset},
+                {"generation", from.generation},
+                {"reason", page.status().ToString()}});
+  } else if (!page.ok()) {
+    co_return page.status();
+  }
+  if (!page.ok() || page->generation > from.generation) {
+    // The store may have given out the offset again, after records that were not read.
     snapshot_read_ = false;
-    log_.Write(Severity::kState, "store_history_gone", {{"topic", options_.name}, {"from", from}});
-    co_return absl::OkStatus();
+    started_over_ = true;
+    co_return co_await ReadSnapshot();
   }
-  if (!page.ok()) {
-    co_return page.status();
+  page->generation = page->generation == 0 ? from.generation : page->generation;
+  if (page->generation < from.generation) {
+    co_return OlderGeneration(page->generation, from.generation);
   }
   fleet_.Apply(options_.topic, *page, false, "store", Now());
   co_return absl::OkStatus();
@@ -65,7 +97,7 @@
   for (;;) {
     const absl::Status status = co_await ReadOnce();
     UpdateConnectionState(status);
-    timer.expires_after(status.ok() ? options_.pause : kRetryPause);
+    timer.expires_after(status.ok() && !started_over_ ? options_.pause : kRetryPause);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
--- a/packages/gateway/src/store_follower.h
+++ b/packages/gateway/src/store_follower.h
@@ -18,7 +18,8 @@
 };
 
 /// Keeps the fleet state up to date with one topic of the store. Starts with the latest records,
-/// and starts over if the store no longer has the records at the current offset. Not thread safe.
+/// and starts over if the store no longer has the records at the current offset or was restored.
+/// Not thread safe.
 class StoreFollower {
  public:
   /// \param store, fleet, log  Must outlive this object.
@@ -35,6 +36,7 @@
 
  private:
   asio::awaitable<absl::Status> ReadOnce();
+  asio::awaitable<absl::Status> ReadSnapshot();
   void UpdateConnectionState(const absl::Status& status);
 
   RecordStore& store_;
@@ -42,6 +44,8 @@
   EventLog& log_;
   FollowOptions options_;
   bool snapshot_read_ = false;
+  /// True if the last call had to start over.
+  bool started_over_ = false;
   bool connected_ = true;
   Time last_response_{};
   std::uint64_t calls_ = 0;
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -6269,6 +6269,26 @@
   this->quarantined_segments = val;
 __isset.quarantined_segments = true;
 }
+
+void GatewayReport::__set_operator_generation(const int64_t val) {
+  this->operator_generation = val;
+__isset.operator_generation = true;
+}
+
+void GatewayReport::__set_servers_generation(const int64_t val) {
+  this->servers_generation = val;
+__isset.servers_generation = true;
+}
+
+void GatewayReport::__set_configuration_version(const int64_t val) {
+  this->configuration_version = val;
+__isset.configuration_version = true;
+}
+
+void GatewayReport::__set_held_evacuations(const int64_t val) {
+  this->held_evacuations = val;
+__isset.held_evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayReport& obj)
 {
   obj.printTo(out);
@@ -6577,6 +6597,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_generation);
+          this->__isset.operator_generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servers_generation);
+          this->__isset.servers_generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration_version);
+          this->__isset.configuration_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_evacuations);
+          this->__isset.held_evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6772,6 +6824,26 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.operator_generation) {
+    xfer += oprot->writeFieldBegin("operator_generation", ::apache::thrift::protocol::T_I64, 21);
+    xfer += oprot->writeI64(this->operator_generation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.servers_generation) {
+    xfer += oprot->writeFieldBegin("servers_generation", ::apache::thrift::protocol::T_I64, 22);
+    xfer += oprot->writeI64(this->servers_generation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configuration_version) {
+    xfer += oprot->writeFieldBegin("configuration_version", ::apache::thrift::protocol::T_I64, 23);
+    xfer += oprot->writeI64(this->configuration_version);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.held_evacuations) {
+    xfer += oprot->writeFieldBegin("held_evacuations", ::apache::thrift::protocol::T_I64, 24);
+    xfer += oprot->writeI64(this->held_evacuations);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6799,6 +6871,10 @@
   swap(a.crash_victims, b.crash_victims);
   swap(a.segment_responses, b.segment_responses);
   swap(a.quarantined_segments, b.quarantined_segments);
+  swap(a.operator_generation, b.operator_generation);
+  swap(a.servers_generation, b.servers_generation);
+  swap(a.configuration_version, b.configuration_version);
+  swap(a.held_evacuations, b.held_evacuations);
   swap(a.__isset, b.__isset);
 }
 
@@ -6823,6 +6899,10 @@
   crash_victims = other240.crash_victims;
   segment_responses = other240.segment_responses;
   quarantined_segments = other240.quarantined_segments;
+  operator_generation = other240.operator_generation;
+  servers_generation = other240.servers_generation;
+  configuration_version = other240.configuration_version;
+  held_evacuations = other240.held_evacuations;
   __isset = other240.__isset;
 }
 GatewayReport::GatewayReport(GatewayReport&& other241) noexcept {
@@ -6846,6 +6926,10 @@
   crash_victims = std::move(other241.crash_victims);
   segment_responses = std::move(other241.segment_responses);
   quarantined_segments = std::move(other241.quarantined_segments);
+  operator_generation = other241.operator_generation;
+  servers_generation = other241.servers_generation;
+  configuration_version = other241.configuration_version;
+  held_evacuations = other241.held_evacuations;
   __isset = other241.__isset;
 }
 GatewayReport& GatewayReport::operator=(const GatewayReport& other242) {
@@ -6869,6 +6953,10 @@
   crash_victims = other242.crash_victims;
   segment_responses = other242.segment_responses;
   quarantined_segments = other242.quarantined_segments;
+  operator_generation = other242.operator_generation;
+  servers_generation = other242.servers_generation;
+  configuration_version = other242.configuration_version;
+  held_evacuations = other242.held_evacuations;
   __isset = other242.__isset;
   return *this;
 }
@@ -6893,6 +6981,10 @@
   crash_victims = std::move(other243.crash_victims);
   segment_responses = std::move(other243.segment_responses);
   quarantined_segments = std::move(other243.quarantined_segments);
+  operator_generation = other243.operator_generation;
+  servers_generation = other243.servers_generation;
+  configuration_version = other243.configuration_version;
+  held_evacuations = other243.held_evacuations;
   __isset = other243.__isset;
   return *this;
 }
@@ -6919,6 +7011,10 @@
   out << ", " << "crash_victims="; (__isset.crash_victims ? (out << to_string(crash_victims)) : (out << "<null>"));
   out << ", " << "segment_responses="; (__isset.segment_responses ? (out << to_string(segment_responses)) : (out << "<null>"));
   out << ", " << "quarantined_segments="; (__isset.quarantined_segments ? (out << to_string(quarantined_segments)) : (out << "<null>"));
+  out << ", " << "operator_generation="; (__isset.operator_generation ? (out << to_string(operator_generation)) : (out << "<null>"));
+  out << ", " << "servers_generation="; (__isset.servers_generation ? (out << to_string(servers_generation)) : (out << "<null>"));
+  out << ", " << "configuration_version="; (__isset.configuration_version ? (out << to_string(configuration_version)) : (out << "<null>"));
+  out << ", " << "held_evacuations="; (__isset.held_evacuations ? (out << to_string(held_evacuations)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -2471,7 +2471,7 @@
 std::ostream& operator<<(std::ostream& out, const QuarantinedSegmentReport& obj);
 
 typedef struct _GatewayReport__isset {
-  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false), store_steady_ms(false), address(false), zone(false), cpu_cores(false), number(false), wants_relay(false), relayed(false), heard(false), crash_victims(false), segment_responses(false), quarantined_segments(false) {}
+  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false), store_steady_ms(false), address(false), zone(false), cpu_cores(false), number(false), wants_relay(false), relayed(false), heard(false), crash_victims(false), segment_responses(false), quarantined_segments(false), operator_generation(false), servers_generation(false), configuration_version(false), held_evacuations(false) {}
   bool incarnation :1;
   bool operator_offset :1;
   bool servers_offset :1;
@@ -2492,6 +2492,10 @@
   bool crash_victims :1;
   bool segment_responses :1;
   bool quarantined_segments :1;
+  bool operator_generation :1;
+  bool servers_generation :1;
+  bool configuration_version :1;
+  bool held_evacuations :1;
 } _GatewayReport__isset;
 
 class GatewayReport : public virtual ::apache::thrift::TBase {
@@ -2511,7 +2515,11 @@
                   zone(),
                   cpu_cores(0),
                   number(0),
-                  wants_relay(0) {
+                  wants_relay(0),
+                  operator_generation(0),
+                  servers_generation(0),
+                  configuration_version(0),
+                  held_evacuations(0) {
   }
 
   virtual ~GatewayReport() noexcept;
@@ -2535,6 +2543,10 @@
   std::vector<CrashVictimReport>  crash_victims;
   std::vector<SegmentEventReport>  segment_responses;
   std::vector<QuarantinedSegmentReport>  quarantined_segments;
+  int64_t operator_generation;
+  int64_t servers_generation;
+  int64_t configuration_version;
+  int64_t held_evacuations;
 
   _GatewayReport__isset __isset;
 
@@ -2578,6 +2590,14 @@
 
   void __set_quarantined_segments(const std::vector<QuarantinedSegmentReport> & val);
 
+  void __set_operator_generation(const int64_t val);
+
+  void __set_servers_generation(const int64_t val);
+
+  void __set_configuration_version(const int64_t val);
+
+  void __set_held_evacuations(const int64_t val);
+
   bool operator == (const GatewayReport & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -2656,6 +2676,22 @@
       return false;
     else if (__isset.quarantined_segments && !(quarantined_segments == rhs.quarantined_segments))
       return false;
+    if (__isset.operator_generation != rhs.__isset.operator_generation)
+      return false;
+    else if (__isset.operator_generation && !(operator_generation == rhs.operator_generation))
+      return false;
+    if (__isset.servers_generation != rhs.__isset.servers_generation)
+      return false;
+    else if (__isset.servers_generation && !(servers_generation == rhs.servers_generation))
+      return false;
+    if (__isset.configuration_version != rhs.__isset.configuration_version)
+      return false;
+    else if (__isset.configuration_version && !(configuration_version == rhs.configuration_version))
+      return false;
+    if (__isset.held_evacuations != rhs.__isset.held_evacuations)
+      return false;
+    else if (__isset.held_evacuations && !(held_evacuations == rhs.held_evacuations))
+      return false;
     return true;
   }
   bool operator != (const GatewayReport &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -317,4 +317,12 @@
   19: optional list<SegmentEventReport> segment_responses
   // All of the sender's, maybe none; left out of most reports.
   20: optional list<QuarantinedSegmentReport> quarantined_segments
+  // Generations of the store's history that fields 2 and 3 belong to. Fields 21 to 24 are left out
+  // together with 2 and 3, and by older versions.
+  21: optional i64 operator_generation
+  22: optional i64 servers_generation
+  // Version of the configuration in force, -1 without one.
+  23: optional i64 configuration_version
+  // Identifies the evacuations in force that the store, brought back from a copy, lacks; 0 if none.
+  24: optional i64 held_evacuations
 }
--- a/packages/wire/include/lagoonwind/gateway_report.h
+++ b/packages/wire/include/lagoonwind/gateway_report.h
@@ -25,6 +25,13 @@
   /// Offsets up to which the gateway has read the topics of the store.
   std::int64_t operator_offset = 0;
   std::int64_t servers_offset = 0;
+  /// Generations of the store's history that the offsets belong to; 0 in reports of older versions.
+  std::int64_t operator_generation = 0;
+  std::int64_t servers_generation = 0;
+  /// Version of the configuration in force; -1 if there is none and in reports of older versions.
+  std::int64_t configuration_version = -1;
+  /// Identifies the evacuations in force that the restored store lacks; 0 if there are none.
+  std::int64_t held_evacuations = 0;
   /// Time for which all of its calls to the store have succeeded; zero after a failure.
   std::chrono::milliseconds store_available_for{0};
   /// True if it is shutting down.
--- a/packages/wire/src/gateway_report.cc
+++ b/packages/wire/src/gateway_report.cc
@@ -142,7 +142,8 @@
   const auto in_range = [](std::int64_t count) { return count >= 0 && count <= kMaxCount; };
   const auto has_age = [](const auto& event) { return event.age_ms >= 0; };
   return in_range(report.store_steady_ms) && in_range(report.number) &&
-         std::isfinite(report.cpu_cores) &&
+         in_range(report.operator_generation) && in_range(report.servers_generation) &&
+         in_range(report.held_evacuations) && std::isfinite(report.cpu_cores) &&
          std::ranges::all_of(report.engines,
                              [&](const gen::EngineLoadReport& engine) {
                                return in_range(engine.read_tokens) && in_range(engine.running) &&
@@ -182,19 +183,28 @@
   out.__set_address(status.address);
   out.__set_zone(status.zone);
   out.__set_cpu_cores(status.cpu_cores);
+  out.__set_operator_generation(status.operator_generation);
+  out.__set_servers_generation(status.servers_generation);
+  out.__set_configuration_version(status.configuration_version);
+  out.__set_held_evacuations(status.held_evacuations);
 }
 
 std::optional<GatewayStatus> DecodeStatus(const gen::GatewayReport& in) {
   if (!in.__isset.operator_offset) {
     return std::nullopt;
   }
-  return GatewayStatus{.operator_offset = in.operator_offset,
-                       .servers_offset = in.servers_offset,
-                       .store_available_for = std::chrono::milliseconds(in.store_steady_ms),
-                       .leaving = in.leaving,
-                       .address = in.address,
-                       .zone = in.zone,
-                       .cpu_cores = in.cpu_cores};
+  return GatewayStatus{
+      .operator_offset = in.operator_offset,
+      .servers_offset = in.servers_offset,
+      .operator_generation = in.operator_generation,
+      .servers_generation = in.servers_generation,
+      .configuration_version = in.__isset.configuration_version ? in.configuration_version : -1,
+      .held_evacuations = in.held_evacuations,
+      .store_available_for = std::chrono::milliseconds(in.store_steady_ms),
+      .leaving = in.leaving,
+      .address = in.address,
+      .zone = in.zone,
+      .cpu_cores = in.cpu_cores};
 }
 
 }  // namespace
--- a/tests/unit/gateway_parts_test.cc
+++ b/tests/unit/gateway_parts_test.cc
@@ -149,7 +149,7 @@
   fixture.Put(Topic::kServers, "i-3", "11", At(3300));
   fixture.fleet.StoreFailed();
   fixture.fleet.StoreRecovered(At(3400));
-  fixture.fleet.PeerReachedStore(seconds(60), At(3450));
+  fixture.fleet.PeerReachedStore(seconds(60), 0, At(3450));
   fixture.Delete("i-3", At(3500));
   CHECK(fixture.eligible_count() == 1);
   // Well after the recovery of the store deletions take effect at once again, however often the two
