--- a/packages/gateway/src/quarantine_records.cc
+++ b/packages/gateway/src/quarantine_records.cc
@@ -56,7 +56,7 @@
   return known_ || now - created_ >= kMaxStartWait;
 }
 
-void QuarantineRecords::ApplyRecord(const Record& record) {
+void QuarantineRecords::ApplyRecord(const Record& record, bool restored) {
   policy::SegmentId segment;
   if (!absl::SimpleHexAtoi(record.key, &segment.value)) {
     options_.log.Write(Severity::kState, "record_not_understood",
@@ -77,17 +77,26 @@
   // Clocks of hosts may differ, so that the time can lie in the future. Times far before 1970 would
   // overflow.
   const std::int64_t now = UnixMilliseconds();
-  const milliseconds age(now - std::clamp<std::int64_t>(field->get<std::int64_t>(), 0, now));
+  const auto stated = field->get<std::int64_t>();
+  const milliseconds age(now - std::clamp<std::int64_t>(stated, 0, now));
   policy::QuarantinedSegment quarantine{
       .segment = segment, .last_crash = Now() - age, .trials = TrialsOf(value)};
   if (const auto known = options_.segments.Find(segment)) {
     // The own time is better, as clocks of hosts differ.
     quarantine.last_crash = known->last_crash;
   }
+  const auto deleted = deleted_.find(segment);
+  if (restored && deleted != deleted_.end() && stated <= deleted->second) {
+    // Not applied, and deleted again.
+    quarantine.last_crash = {};
+    stored_[segment] = {.quarantine = quarantine, .last_crash_unix_ms = stated};
+    return;
+  }
+  deleted_.erase(segment);
   if (age <= kMaxAge && options_.segments.MergeQuarantine(quarantine, Now())) {
     options_.on_quarantined(segment);
   }
-  stored_[segment] = quarantine;
+  stored_[segment] = {.quarantine = quarantine, .last_crash_unix_ms = stated};
 }
 
 void QuarantineRecords::ApplyDeletion(policy::SegmentId segment) {
@@ -95,48 +104,83 @@
   if (stored != stored_.end()) {
     // Ends the quarantine unless there was a further crash.
     options_.segments.MergePeerResponse(
-        {.segment = segment, .at = stored->second.last_crash + milliseconds(1)});
+        {.segment = segment, .at = stored->second.quarantine.last_crash + milliseconds(1)});
+    RecordDeletion(segment, stored->second.last_crash_unix_ms);
     stored_.erase(stored);
   }
 }
 
-void QuarantineRecords::ApplyPage(const RecordPage& page) {
-  if (!snapshot_read_) {
-    ApplyMissingRecords(page);
+void QuarantineRecords::RecordDeletion(policy::SegmentId segment, std::int64_t last_crash_unix_ms) {
+  // Older records have no effect if they come back.
+  absl::erase_if(deleted_, [oldest = UnixMilliseconds() - kMaxAge.count()](const auto& item) {
+    return item.second < oldest;
+  });
+  deleted_[segment] = last_crash_unix_ms;
+}
+
+void QuarantineRecords::ApplyPage(const RecordPage& page, bool complete) {
+  const StorePosition next = PositionAfter(page);
+  // The store comes back with a later generation; one that states none, with a lower offset.
+  const bool restored =
+      known_from_store_ && (next.generation != position_.generation || next < position_);
+  if (complete) {
+    ApplyMissingRecords(page, restored);
+  }
+  if (restored) {
+    options_.log.Write(Severity::kState, "store_restored",
+                       {{"topic", "quarantine"},
+                        {"generation", next.generation},
+                        {"previous_generation", position_.generation},
+                        {"offset", next.offset},
+                        {"previous_offset", position_.offset}});
   }
   snapshot_read_ = true;
-  offset_ = page.next_offset;
-  std::ranges::for_each(page.records, [this](const Record& record) { ApplyRecord(record); });
+  known_from_store_ = true;
+  position_ = next;
+  for (const Record& record : page.records) {
+    ApplyRecord(record, restored);
+  }
   known_ = true;
 }
 
-void QuarantineRecords::ApplyMissingRecords(const RecordPage& snapshot) {
+void QuarantineRecords::ApplyMissingRecords(const RecordPage& snapshot, bool restored) {
   std::vector<policy::SegmentId> missing;
-  for (const auto& [segment, quarantine] : stored_) {
+  for (const auto& [segment, stored] : stored_) {
     if (std::ranges::find(snapshot.records, KeyOf(segment), &Record::key) ==
         snapshot.records.end()) {
       missing.push_back(segment);
     }
   }
-  std::ranges::for_each(missing, [this](policy::SegmentId segment) { ApplyDeletion(segment); });
+  for (const policy::SegmentId segment : missing) {
+    if (restored) {
+      stored_.erase(segment);
+    } else {
+      ApplyDeletion(segment);
+    }
+  }
 }
 
 asio::awaitable<absl::Status> QuarantineRecords::ReadOnce() {
   ++calls_;
   if (!snapshot_read_) {
-    const auto page = co_await options_.store.ReadNewest(Topic::kQuarantine);
+    auto page = co_await options_.store.ReadNewest(Topic::kQuarantine);
     if (page.ok()) {
-      ApplyPage(*page);
+      page->generation = page->generation == 0 ? position_.generation : page->generation;
+      ApplyPage(*page, true);
     }
     co_return page.status();
   }
-  const auto page = co_await options_.store.ReadFrom(Topic::kQuarantine, offset_, kReadWait);
+  auto page = co_await options_.store.ReadFrom(Topic::kQuarantine, position_.offset, kReadWait);
   if (absl::IsOutOfRange(page.status())) {
     snapshot_read_ = false;
     co_return absl::OkStatus();
   }
   if (page.ok()) {
-    ApplyPage(*page);
+    page->generation = page->generation == 0 ? position_.generation : page->generation;
+    snapshot_read_ = page->generation == position_.generation;
+    if (snapshot_read_) {
+      ApplyPage(*page, false);
+    }
   }
   co_return page.status();
 }
@@ -168,28 +212,32 @@
 
 asio::awaitable<void> QuarantineRecords::WriteRecord(const policy::QuarantinedSegment& quarantine) {
   const auto age = std::chrono::duration_cast<milliseconds>(Now() - quarantine.last_crash);
-  const json value{{kLastCrashField, UnixMilliseconds() - age.count()},
-                   {kTrialsField, quarantine.trials}};
+  const std::int64_t last_crash_unix_ms = UnixMilliseconds() - age.count();
+  const json value{{kLastCrashField, last_crash_unix_ms}, {kTrialsField, quarantine.trials}};
   Record record{.key = KeyOf(quarantine.segment), .value = value.dump()};
   const bool written = co_await Write(std::move(record), quarantine.segment, "quarantine_stored");
   if (written) {
-    stored_[quarantine.segment] = quarantine;
+    stored_[quarantine.segment] = {.quarantine = quarantine,
+                                   .last_crash_unix_ms = last_crash_unix_ms};
+    deleted_.erase(quarantine.segment);
   }
 }
 
 asio::awaitable<void> QuarantineRecords::DeleteRecord(policy::SegmentId segment) {
   Record record{.key = KeyOf(segment)};
   const bool written = co_await Write(std::move(record), segment, "quarantine_deleted");
-  if (written) {
-    stored_.erase(segment);
+  const auto stored = stored_.find(segment);
+  if (written && stored != stored_.end()) {
+    RecordDeletion(segment, stored->second.last_crash_unix_ms);
+    stored_.erase(stored);
   }
 }
 
 bool QuarantineRecords::IsOutdated(const policy::QuarantinedSegment& quarantine) const {
   const auto stored = stored_.find(quarantine.segment);
   return stored == stored_.end() ||
-         quarantine.last_crash - stored->second.last_crash >= kMinAdvance ||
-         quarantine.trials > stored->second.trials;
+         quarantine.last_crash - stored->second.quarantine.last_crash >= kMinAdvance ||
+         quarantine.trials > stored->second.quarantine.trials;
 }
 
 bool QuarantineRecords::HasEnded(policy::SegmentId segment, Time last_crash) const {
@@ -205,14 +253,14 @@
     }
   }
   std::vector<policy::SegmentId> ended;
-  for (const auto& [segment, quarantine] : stored_) {
-    if (HasEnded(segment, quarantine.last_crash) && options_.is_writer(segment)) {
+  for (const auto& [segment, stored] : stored_) {
+    if (HasEnded(segment, stored.quarantine.last_crash) && options_.is_writer(segment)) {
       ended.push_back(segment);
     }
   }
   for (const policy::SegmentId segment : ended) {
     const auto stored = stored_.find(segment);
-    if (stored != stored_.end() && HasEnded(segment, stored->second.last_crash)) {
+    if (stored != stored_.end() && HasEnded(segment, stored->second.quarantine.last_crash)) {
       co_await DeleteRecord(segment);
     }
   }
--- a/packages/gateway/src/quarantine_records.h
+++ b/packages/gateway/src/quarantine_records.h
@@ -8,6 +8,7 @@
 #include "event_log.h"
 #include "lagoonwind/gateway.h"
 #include "lagoonwind/segment_quarantine.h"
+#include "store_position.h"
 
 namespace lagoonwind::gateway {
 
@@ -39,12 +40,22 @@
   [[nodiscard]] std::uint64_t calls() const { return calls_; }
 
  private:
+  struct StoredQuarantine {
+    policy::QuarantinedSegment quarantine;
+    /// As the record states it.
+    std::int64_t last_crash_unix_ms = 0;
+  };
+
   asio::awaitable<absl::Status> ReadOnce();
-  void ApplyPage(const RecordPage& page);
-  void ApplyRecord(const Record& record);
+  void ApplyPage(const RecordPage& page, bool complete);
+  /// \param restored  True if the page is the first one after a restore of the store.
+  void ApplyRecord(const Record& record, bool restored);
   void ApplyDeletion(policy::SegmentId segment);
-  /// Treats records that the snapshot does not hold as deleted.
-  void ApplyMissingRecords(const RecordPage& snapshot);
+  /// Treats records that the snapshot does not hold as deleted, or as lost by a restored store:
+  /// then they are written again.
+  void ApplyMissingRecords(const RecordPage& snapshot, bool restored);
+  /// Remembers that a record was deleted.
+  void RecordDeletion(policy::SegmentId segment, std::int64_t last_crash_unix_ms);
   /// True if a response has ended the quarantine that the record states.
   [[nodiscard]] bool HasEnded(policy::SegmentId segment, Time last_crash) const;
   asio::awaitable<void> WriteChanges();
@@ -58,9 +69,14 @@
   const Time created_;
   bool known_ = false;
   bool snapshot_read_ = false;
-  std::int64_t offset_ = 0;
+  /// True once a snapshot was read.
+  bool known_from_store_ = false;
+  StorePosition position_;
   /// Records of the store: what this gateway knew of each segment as it read or wrote the record.
-  absl::flat_hash_map<policy::SegmentId, policy::QuarantinedSegment> stored_;
+  absl::flat_hash_map<policy::SegmentId, StoredQuarantine> stored_;
+  /// Time of the last crash that the deleted record of a segment stated. A restored store may bring
+  /// the record back.
+  absl::flat_hash_map<policy::SegmentId, std::int64_t> deleted_;
   std::uint64_t calls_ = 0;
 };
 
