--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -75,6 +75,8 @@
   constexpr int kMaxChangesPerSeries = 5;
   constexpr int kMaxChangeIntervalMs = 120;
   constexpr int kMinSilenceMs = 300;
+  constexpr int kMaxSilenceMs = 1800;
+  constexpr int kServices = 2;
   constexpr int kMaxRestoreMs = 600;
   // Generated apart from the other steps, so that those stay as they are for each seed.
   std::mt19937_64 random(options.seed ^ 0x9E3779B97F4A7C15ULL);
@@ -90,11 +92,18 @@
           {.disturbance = Disturbance::kUpdateConfiguration, .start_offset = start_offset});
       start_offset += milliseconds(random_below(kMaxChangeIntervalMs));
     }
-    plan.push_back(
-        {.disturbance = Disturbance::kServerSilence,
-         .start_offset = milliseconds(random_below(duration_ms)),
-         .duration = milliseconds(kMinSilenceMs + random_below(kMaxDurationMs - kMinSilenceMs)),
-         .target_index = random_below(options.servers)});
+    // The first silence is that of all servers of a service, so that no other can take over.
+    const milliseconds silence_start{random_below(duration_ms)};
+    const milliseconds silence{kMinSilenceMs + random_below(kMaxSilenceMs - kMinSilenceMs)};
+    const int silent_server = random_below(options.servers);
+    const bool whole_service = series == 0;
+    for (int server = whole_service ? silent_server % kServices : silent_server;
+         server < (whole_service ? options.servers : silent_server + 1); server += kServices) {
+      plan.push_back({.disturbance = Disturbance::kServerSilence,
+                      .start_offset = silence_start,
+                      .duration = silence,
+                      .target_index = server});
+    }
     plan.push_back({.disturbance = Disturbance::kOddServerRecord,
                     .start_offset = milliseconds(random_below(duration_ms)),
                     .duration = milliseconds(random_below(kMaxDurationMs)),
