--- a/tests/end_to_end/restored_store_test.cc
+++ b/tests/end_to_end/restored_store_test.cc
@@ -58,7 +58,7 @@
   /// Writes a configuration with the route /lost/ and waits until it is in force.
   void ConfigureLostRoute() {
     EvacuateEmptyZones(5);
-    world.Configure(2, "/lost/");
+    world.Configure(2, {.added_prefix = "/lost/"});
     REQUIRE(AwaitStatus("/lost/1", kOk));
   }
   /// Opens and registers a backend server of service `desk`.
@@ -87,7 +87,7 @@
   fixture.world.StartGateway(1);
   fixture.ConfigureLostRoute();
   fixture.world.RestoreStore(fixture.copy);
-  fixture.world.Configure(3, "/new/");
+  fixture.world.Configure(3, {.added_prefix = "/new/"});
   CHECK(fixture.AwaitStatus("/new/1", kOk));
 }
 
@@ -98,8 +98,8 @@
   fixture.world.RestoreStore(fixture.copy);
   CHECK(fixture.KeepsStatus("/lost/1", kOk, std::chrono::seconds(1)));
   // The operator writes it again, then another one.
-  fixture.world.Configure(2, "/lost/");
-  fixture.world.Configure(3, "/new/");
+  fixture.world.Configure(2, {.added_prefix = "/lost/"});
+  fixture.world.Configure(3, {.added_prefix = "/new/"});
   CHECK(fixture.AwaitStatus("/new/1", kOk));
 }
 
@@ -109,7 +109,7 @@
   fixture.ConfigureLostRoute();
   fixture.world.SetStoreDown(true);
   fixture.world.RestoreStore(fixture.copy);
-  fixture.world.Configure(3, "/new/");
+  fixture.world.Configure(3, {.added_prefix = "/new/"});
   fixture.EvacuateEmptyZones(8);
   fixture.world.SetStoreDown(false);
   CHECK(fixture.AwaitStatus("/new/1", kOk));
@@ -167,7 +167,7 @@
   fixture.ConfigureLostRoute();
   REQUIRE(fixture.AwaitStatus("/lost/1", kOk, 2));
   fixture.world.RestoreStore(fixture.copy);
-  fixture.world.Configure(3, "/new/");
+  fixture.world.Configure(3, {.added_prefix = "/new/"});
   CHECK(fixture.AwaitStatus("/new/1", kOk, 2));
 }
 
@@ -246,7 +246,7 @@
   fixture.ConfigureLostRoute();
   fixture.world.RestoreStore(fixture.copy);
   CHECK(fixture.KeepsStatus("/lost/1", kOk, std::chrono::seconds(1)));
-  fixture.world.Configure(3, "/new/");
+  fixture.world.Configure(3, {.added_prefix = "/new/"});
   CHECK(fixture.AwaitStatus("/new/1", kOk));
 }
 
