--- a/tests/unit/record_store_test.cc
+++ b/tests/unit/record_store_test.cc
@@ -1,4 +1,5 @@
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -106,7 +107,7 @@
         std::string("\xff"), std::string("\0", 1), std::string("\0value", 6)}) {
     CAPTURE(content);
     const std::string odd = BigEndian(content.size(), 4) + content;
-    const std::string body = BigEndian(13, 8) + BigEndian(0, 8) + sound + odd + sound;
+    const std::string body = absl::StrCat(BigEndian(13, 8), BigEndian(0, 8), sound, odd, sound);
     const auto page = DecodeRecordPage(body, 10);
     REQUIRE(page.ok());
     CHECK(page->next_offset == 13);
