--- a/tests/unit/odd_record_values_test.cc
+++ b/tests/unit/odd_record_values_test.cc
@@ -283,7 +283,7 @@
   constexpr std::size_t kMaxErrorBytes = 1000;
   const std::string text(200'000, 'a');
   for (const std::string& value :
-       {"{\"version\": \"" + text,
+       {R"({"version": ")" + text,
         WithMember(ConfigurationJson(), "/routes/0/type", '"' + text + '"'), "{" + text}) {
     const auto change = DecodeConfiguration(value);
     REQUIRE(!change.ok());
