--- a/tests/unit/quarantine_records_test.cc
+++ b/tests/unit/quarantine_records_test.cc
@@ -134,6 +134,31 @@
   CHECK(fixture.segments.Find(kSegment)->trials == 1);
 }
 
+TEST_CASE("a quarantine that a restored store lacks stays and is written again") {
+  Fixture fixture({{.records = {RecordOf(seconds(5))}, .next_offset = 4, .generation = 1},
+                   {.next_offset = 5, .generation = 2},
+                   {.next_offset = 1, .generation = 2},
+                   {.next_offset = 1, .generation = 2}});
+  fixture.Run();
+  CHECK(fixture.segments.IsQuarantined(kSegment));
+  REQUIRE(fixture.store.written.size() == 1);
+  CHECK(fixture.store.written[0].value);
+}
+
+TEST_CASE("a record that was deleted and that a restored store brings back is deleted again") {
+  const Record record = RecordOf(seconds(5));
+  Fixture fixture({{.records = {record}, .next_offset = 1, .generation = 1},
+                   {.records = {{.key = kKey}}, .next_offset = 2, .generation = 1},
+                   {.next_offset = 2, .generation = 2},
+                   {.records = {record}, .next_offset = 1, .generation = 2}});
+  asio::co_spawn(fixture.io, fixture.records.FollowRecords(), asio::detached);
+  asio::co_spawn(fixture.io, fixture.records.WriteRecords(), asio::detached);
+  CHECK(fixture.RunUntil([&] { return !fixture.store.written.empty(); }));
+  CHECK(!fixture.segments.IsQuarantined(kSegment));
+  REQUIRE(!fixture.store.written.empty());
+  CHECK(!fixture.store.written[0].value);
+}
+
 TEST_CASE("a gateway that starts waits for a store that answers late, but not for long") {
   const Time before_start = Now();
   Fixture fixture({{.records = {RecordOf(seconds(5))}, .next_offset = 1}});
