--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -115,7 +115,7 @@
   const int version = configurations_.newest() + 1;
   copies_.push_back(platform_.CopyStore());
   const auto written = Clock::now();
-  platform_.Configure(version, VersionPrefix(version));
+  platform_.Configure(version, {.added_prefix = VersionPrefix(version)});
   configurations_.Record({.number = version, .written = written, .confirmed = Clock::now()});
 }
 
@@ -129,7 +129,7 @@
   }
   Schedule(max_delay, [this] {
     const int newest = configurations_.newest();
-    platform_.Configure(newest, VersionPrefix(newest));
+    platform_.Configure(newest, {.added_prefix = VersionPrefix(newest)});
   });
   for (std::size_t i = 0; i < servers_.size(); ++i) {
     Schedule(max_delay * i / servers_.size(), [this, i] {
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -60,9 +60,9 @@
 }
 
 json RouteOf(const char* name, const char* prefix, const char* kind, const char* service) {
-  return {{"name", name},       {"host", "shop"},    {"path_prefix", prefix}, {"type", kind},
-          {"timeout_ms", 4000}, {"slo_ms", 600},     {"backend", service},    {"max_attempts", 3},
-          {"public", false},    {"resumable", false}};
+  return {{"name", name},      {"host", "shop"},  {"path_prefix", prefix},
+          {"type", kind},      {"slo_ms", 600},   {"backend", service},
+          {"max_attempts", 3}, {"public", false}, {"resumable", false}};
 }
 
 }  // namespace
@@ -286,25 +286,31 @@
   });
 }
 
-void PlatformWorld::Configure(int version, const std::string& added_prefix) {
+void PlatformWorld::Configure(int version, const ConfigurationOptions& options) {
   json plan = RouteOf("plan", "/plan/", "streaming", "model");
   plan["resumable"] = true;
   json look = RouteOf("look", "/look/", "idempotent", "desk");
   look["public"] = true;
   json routes{plan, RouteOf("chat", "/chat/", "streaming", "model"),
               RouteOf("book", "/book/", "mutating", "desk"), look};
-  if (!added_prefix.empty()) {
+  if (!options.added_prefix.empty()) {
     look["name"] = "added";
-    look["path_prefix"] = added_prefix;
+    look["path_prefix"] = options.added_prefix;
     routes.push_back(look);
   }
+  for (json& route : routes) {
+    route["timeout_ms"] = options.route_timeout.count();
+  }
   Put("keyed.op", "config",
       json{{"version", version},
            {"routes", routes},
            {"services",
             {{{"name", "model"}, {"engine", {{"slots", 8}, {"kv_capacity", 100000}}}},
              {{"name", "desk"}}}},
-           {"limits", {{"max_header_bytes", 4000}, {"max_body_bytes", 10000}}},
+           {"limits",
+            {{"max_header_bytes", 4000},
+             {"max_body_bytes", 10000},
+             {"idle_timeout_ms", options.idle_timeout.count()}}},
            {"tenants", {{{"name", "erie"}, {"api_keys", {"key1"}}}}}}
           .dump());
 }
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -77,6 +77,16 @@
   std::string value;
 };
 
+/// Parts of a configuration that tests vary.
+struct ConfigurationOptions {
+  /// Path prefix of a further route like /look/; empty for none.
+  std::string added_prefix;
+  /// Limit on the time for which callers' connections are idle.
+  std::chrono::milliseconds idle_timeout{15000};
+  /// Timeout of each route.
+  std::chrono::milliseconds route_timeout{4000};
+};
+
 /// Stand-ins for the platform's store and backend servers, and gateways as processes, each on its
 /// own loopback address. Thread safe, except for StartGateway(), SetStoreAddress(),
 /// SetMaxDescriptors() and KeepFiles().
@@ -117,8 +127,7 @@
   [[nodiscard]] bool AllEnginesUp() const;
   /// Writes a configuration with the routes /plan/ (resumable stream), /chat/ (stream), /book/
   /// (mutating) and /look/ (idempotent, public).
-  /// \param added_prefix  Path prefix of a further route like /look/; empty for none.
-  void Configure(int version, const std::string& added_prefix = "");
+  void Configure(int version, const ConfigurationOptions& options = {});
   /// Writes a record of the topic `keyed.servers` or `keyed.op`; an empty value deletes it.
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   void Delete(const std::string& topic, const std::string& key);
