--- a/packages/gateway/src/record_copier.cc
+++ b/packages/gateway/src/record_copier.cc
@@ -75,10 +75,11 @@
 /// Takes the records of evacuations that the peer holds out of the page.
 RecordPage TakeHeld(RecordPage& page, const std::map<std::string, milliseconds>& held) {
   RecordPage taken{.next_offset = page.next_offset, .generation = page.generation};
-  const auto rest = std::ranges::stable_partition(
-      page.records, [&](const Record& record) { return !held.contains(record.key); });
-  taken.records.assign(rest.begin(), rest.end());
-  page.records.erase(rest.begin(), rest.end());
+  const auto rest =
+      std::stable_partition(page.records.begin(), page.records.end(),
+                            [&](const Record& record) { return !held.contains(record.key); });
+  taken.records.assign(rest, page.records.end());
+  page.records.erase(rest, page.records.end());
   return taken;
 }
 
