Test: deadlines that pass after the stop, however late the signal

The gateway answers 3.1 s after SIGTERM, and the requests' deadlines were 4 s after they were sent, so that a signal more than 0.9 s late let the deadline pass first. With 1.2 s of delay before the signal the test failed in each of two checks (504); with deadlines of 20 s it passes with that delay and without. The check is the same.

--- a/tests/end_to_end/gateway_drain_test.cc
+++ b/tests/end_to_end/gateway_drain_test.cc
@@ -29,8 +29,8 @@
 
 /// A store, engines, a plain backend server, and one gateway.
 struct DrainFixture {
-  DrainFixture() {
-    world.Configure(1);
+  explicit DrainFixture(const testing::ConfigurationOptions& options = {}) {
+    world.Configure(1, options);
     for (const char* name : {"m-1", "m-2", "m-3", "m-4", "m-5", "m-6"}) {
       world.AddServer(name, "model");
     }
@@ -104,14 +104,17 @@
 }
 
 TEST_CASE("requests without a response are answered before the gateway stops") {
-  DrainFixture fixture;
+  DrainFixture fixture({.route_timeout = milliseconds(20000)});
   for (const char* name : {"m-1", "m-2", "m-3", "m-4", "m-5", "m-6", "d-1"}) {
     fixture.world.SetMode(name, ServerMode::kHang);
   }
-  const auto send = [](const char* target, const char* id) {
+  const auto send = [](const std::string& target, const std::string& id) {
     return std::async(std::launch::async, [target, id] {
       Caller caller(PlatformWorld::CallerAddress(1));
-      return caller.Send("POST", target, id, kPromptFields, "body");
+      return caller.SendRaw("POST " + target + " HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: " + id +
+                            "\r\nX-Deadline-Ms: 20000\r\nAuthorization: Bearer key1\r\n"
+                            "X-Token-Usage: 300,20\r\nX-Prompt-Prefix: aa:200,bb:100\r\n"
+                            "Content-Length: 4\r\n\r\nbody");
     });
   };
   // Their deadlines pass after the stop.
