Check positions and times in copies of a peer's records

A generation far above the store's would have kept a gateway from following the store until it restarted, and an extreme time overflowed. Reports had such limits, copies had none. Found in a review by reading; no test.

--- a/packages/gateway/src/record_copier.cc
+++ b/packages/gateway/src/record_copier.cc
@@ -23,6 +23,10 @@
 constexpr milliseconds kCopyTimeout{1500};
 constexpr std::string_view kRecordsPath = "/records";
 constexpr unsigned kNotFound = 404;
+/// Largest generation that a sound peer states.
+constexpr std::int64_t kMaxGeneration = std::int64_t{1} << 48U;
+/// Longest remaining time of a held evacuation that is taken from a peer.
+constexpr std::int64_t kMaxHeldMilliseconds = 3'600'000;
 constexpr const char* kGenerationField = "generation";
 constexpr const char* kHeldField = "held_ms";
 constexpr const char* kConfigurationParameter = "configuration";
@@ -30,9 +34,14 @@
     {{"operator", Topic::kOperator}, {"servers", Topic::kServers}}};
 
 /// Decodes a topic: either all of its records, or the changes since the requested offset.
-RecordPage ParsePage(const json& topic) {
+/// \return DataLoss if the position is out of range. Throws json::exception at malformed fields.
+absl::StatusOr<RecordPage> ParsePage(const json& topic) {
   RecordPage page{.next_offset = topic.at("next_offset"),
                   .generation = topic.value(kGenerationField, std::int64_t{0})};
+  if (page.next_offset < 0 || page.generation < 0 || page.generation > kMaxGeneration) {
+    return absl::DataLossError(absl::StrCat("the peer states offset ", page.next_offset,
+                                            " of generation ", page.generation));
+  }
   if (topic.contains("changes")) {
     for (const json& change : topic.at("changes")) {
       Record record{.key = change.at("key")};
@@ -118,16 +127,21 @@
   return topics.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-void RecordCopier::ApplyCopy(const json& copy) {
+absl::Status RecordCopier::ApplyCopy(const json& copy) {
   FleetState& fleet = options_.fleet;
   for (const auto& [name, topic] : kCopiedTopics) {
     const json& fields = copy.at(name);
-    RecordPage page = ParsePage(fields);
+    auto parsed = ParsePage(fields);
+    if (!parsed.ok()) {
+      return parsed.status();
+    }
+    RecordPage page = *std::move(parsed);
     page.generation = fleet.ResolveGeneration(topic, page.generation);
     std::map<std::string, milliseconds> remaining;
     const json held_ms = fields.value(kHeldField, json::object());
     for (const auto& [key, time] : held_ms.items()) {
-      remaining[key] = milliseconds(time.get<std::int64_t>());
+      remaining[key] =
+          milliseconds(std::clamp(time.get<std::int64_t>(), std::int64_t{0}, kMaxHeldMilliseconds));
     }
     const RecordPage held = TakeHeld(page, remaining);
     if (fleet.IsNewer(topic, PositionAfter(page), Now())) {
@@ -138,6 +152,7 @@
       fleet.HoldEvacuations(held, remaining, "peer", Now());
     }
   }
+  return absl::OkStatus();
 }
 
 asio::awaitable<void> RecordCopier::ServeRecords() {
@@ -175,11 +190,10 @@
   }
   const json body = json::parse(response->body, nullptr, false);
   try {
-    ApplyCopy(body);
+    co_return ApplyCopy(body);
   } catch (const json::exception& error) {
     co_return absl::DataLossError(error.what());
   }
-  co_return absl::OkStatus();
 }
 
 asio::awaitable<void> RecordCopier::CopyNewerRecords() {
--- a/packages/gateway/src/record_copier.h
+++ b/packages/gateway/src/record_copier.h
@@ -37,7 +37,7 @@
  private:
   asio::awaitable<absl::Status> CopyFrom(std::string address);
   /// Applies what is newer in a peer's records.
-  void ApplyCopy(const nlohmann::json& copy);
+  absl::Status ApplyCopy(const nlohmann::json& copy);
   /// True if the changes since the peer's offset would not bring it up to date.
   [[nodiscard]] bool NeedsAllRecords(std::string_view target, std::string_view name,
                                      Topic topic) const;
