Refuse a connection if the longest idle one can't be closed

CloseIfIdle() leaves a connection open whose next request waits to be read, but MakeRoomForSession() counted it as closed, so that the limit on connections could be exceeded. Found in a review by reading; no test.

--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -70,12 +70,14 @@
   });
 }
 
-void CallerSession::CloseIfIdle() {
+bool CallerSession::CloseIfIdle() {
   ErrorCode ignored;
-  if (idle_since_ && socket_.available(ignored) == 0) {
-    idle_since_.reset();
-    socket_.cancel(ignored);
+  if (!idle_since_ || socket_.available(ignored) > 0) {
+    return false;
   }
+  idle_since_.reset();
+  socket_.cancel(ignored);
+  return true;
 }
 
 void CallerSession::StopReading() {
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -25,7 +25,8 @@
   /// Serves the connection until it closes. Keeps `session` alive meanwhile.
   static asio::awaitable<void> Run(std::shared_ptr<CallerSession> session);
   /// Closes the connection if no request is in progress on it or waits to be read.
-  void CloseIfIdle();
+  /// \return False if it stays open.
+  bool CloseIfIdle();
   /// Ends the read of a request that is not whole, and closes the connection then.
   void StopReading();
   /// True if a request was read, or is being read, and its answer is neither written nor a stream
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -270,11 +270,7 @@
         longest_idle = session;
       }
     }
-    if (longest_idle == nullptr) {
-      return false;
-    }
-    longest_idle->CloseIfIdle();
-    return true;
+    return longest_idle != nullptr && longest_idle->CloseIfIdle();
   }
 
   asio::awaitable<void> RunHousekeeping() {
