Doubt a departed server's record after a peer's copy too

A backend server that had left was used again at once by a gateway whose first page of the restored store came from a peer.

Records of all complete pages of a restored store are doubted now. Change pages aren't affected: what they hold was written after the restore. A server that registers anew is used at once, as its record is newer than the one of its departure.

--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -170,7 +170,8 @@
     if (topic == Topic::kOperator) {
       ApplyOperatorRecord(record, page.generation, source, now);
     } else if (topic == Topic::kServers) {
-      ApplyServerRecord(record, restored, now);
+      // A peer's copy may have been the first page of the generation.
+      ApplyServerRecord(record, complete && restored_topics_.contains(topic), now);
     }
   }
   if (restored) {
@@ -191,7 +192,7 @@
 void FleetState::ApplyAbsence(Topic topic, const std::string& key, bool restored,
                               std::string_view source, Time now) {
   if (topic == Topic::kServers) {
-    ApplyServerRecord({.key = key}, restored, now);
+    ApplyServerRecord({.key = key}, false, now);
     return;
   }
   if (held_evacuations_.contains(key) || key == configuration_key_) {
@@ -329,7 +330,7 @@
              {{"zone", zone}, {"source", source}});
 }
 
-void FleetState::ApplyServerRecord(const Record& record, bool restored, Time now) {
+void FleetState::ApplyServerRecord(const Record& record, bool may_be_old, Time now) {
   auto& raw = records_[Topic::kServers];
   if (!record.value.has_value()) {
     raw.erase(record.key);
@@ -353,8 +354,9 @@
     if (decoded->id != previous.id) {
       RemoveServer(record.key, "restarted", now);
     }
-  } else if (restored && departed_servers_.Includes(record.key, *decoded)) {
-    doubtful_records_[record.key] = {.record = record, .until = now + kDoubtTime};
+  } else if (may_be_old && departed_servers_.Includes(record.key, *decoded)) {
+    const auto [it, inserted] = doubtful_records_.try_emplace(record.key);
+    it->second = {.record = record, .until = inserted ? now + kDoubtTime : it->second.until};
     return;
   }
   raw[record.key] = *record.value;
--- a/packages/gateway/src/fleet_state.h
+++ b/packages/gateway/src/fleet_state.h
@@ -129,8 +129,8 @@
   bool ApplyConfiguration(const std::shared_ptr<const Configuration>& configuration,
                           std::int64_t generation, std::string_view source);
   void ApplyEvacuation(const std::string& zone, bool ended, std::string_view source, Time now);
-  /// \param restored  True if the record is of the first page of a generation.
-  void ApplyServerRecord(const Record& record, bool restored, Time now);
+  /// \param may_be_old  True if the record is of a complete page of a restored store.
+  void ApplyServerRecord(const Record& record, bool may_be_old, Time now);
   void MarkMissing(const std::string& key, Time now);
   void RemoveServer(const std::string& key, std::string_view reason, Time now);
   /// Builds the indexes of backend servers unless they are up to date.
--- a/tests/unit/fleet_restore_test.cc
+++ b/tests/unit/fleet_restore_test.cc
@@ -75,6 +75,24 @@
   CHECK(fixture.eligible_count() == 2);
 }
 
+TEST_CASE("a server that left stays away if a peer's copy of the restored store came first") {
+  FleetFixture fixture;
+  FleetState& fleet = fixture.fleet;
+  fixture.offset = 20;
+  fixture.Put(Topic::kServers, "i-1", "11", At(-9000));
+  fixture.Delete("i-1", At(0));
+  fleet.Apply(Topic::kServers, {.next_offset = 10, .generation = 2}, true, "peer", At(1000));
+  const RecordPage copy{
+      .records = {{.key = "i-1", .value = "11"}}, .next_offset = 10, .generation = 2};
+  CHECK(fleet.Apply(Topic::kServers, copy, true, "store", At(1100)));
+  CHECK(fixture.eligible_count() == 0);
+  // Another list of the same history is no reason to wait longer.
+  CHECK(fleet.Apply(Topic::kServers, copy, true, "store", At(20000)));
+  CHECK(fixture.eligible_count() == 0);
+  fleet.ExpireHeldRecords(At(21100));
+  CHECK(fixture.eligible_count() == 1);
+}
+
 TEST_CASE("a server that a restored store lacks has time to register again") {
   FleetFixture fixture;
   FleetState& fleet = fixture.fleet;
