End holds of a restored store only on evidence

A gateway ended an evacuation that the restored store lacks, or used a departed server that it lists, when 60 s or 20 s of wall time were over, even if the store had been away for that time or the gateway had been frozen and had read nothing since.

Both now end only if all calls to the store have succeeded for the period and a read of the topic that began after its end has succeeded. A freeze fails no call, and a response may lie in the socket since before it; the calls of a topic follow one another, so that the last page is newer than the end if the one before it was already applied after the end. While the store is away, peers are told a remaining time of zero. A gateway that stays cut off keeps its holds.

Three existing cases expired records without any read of the store, which is the fault; they make the same checks at the same times, now after two reads.

--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <numeric>
+#include <utility>
 
 #include "clock.h"
 
@@ -78,7 +79,7 @@
 std::map<std::string, milliseconds> FleetState::HeldEvacuations(Time now) const {
   std::map<std::string, milliseconds> remaining;
   for (const auto& [key, until] : held_evacuations_) {
-    remaining[key] = std::chrono::duration_cast<milliseconds>(until - now);
+    remaining[key] = std::chrono::duration_cast<milliseconds>(std::max(until - now, Duration{0}));
   }
   return remaining;
 }
@@ -161,6 +162,9 @@
   }
   UpdateRecentChanges(topic, page, complete, previous.offset);
   positions_[topic] = next;
+  if (source == kStoreSource) {
+    store_reads_[topic].previous = std::exchange(store_reads_[topic].last, now);
+  }
   if (complete) {
     for (const std::string& key : AbsentKeys(records_[topic], page)) {
       ApplyAbsence(topic, key, restored, source, now);
@@ -243,13 +247,13 @@
 void FleetState::ExpireHeldRecords(Time now) {
   const auto held = held_evacuations_;
   for (const auto& [key, until] : held) {
-    if (now >= until) {
+    if (StoreConfirms(Topic::kOperator, until, kMaxHoldTime, now)) {
       ApplyOperatorRecord({.key = key}, position(Topic::kOperator).generation, "timeout", now);
     }
   }
   std::vector<Record> listed;
   for (const auto& [key, doubtful] : doubtful_records_) {
-    if (now >= doubtful.until) {
+    if (StoreConfirms(Topic::kServers, doubtful.until, kDoubtTime, now)) {
       listed.push_back(doubtful.record);
     }
   }
@@ -407,6 +411,12 @@
   return store_unreachable_ || positions_.empty() ? Duration{0} : now - store_reachable_since_;
 }
 
+bool FleetState::StoreConfirms(Topic topic, Time until, Duration period, Time now) const {
+  const auto reads = store_reads_.find(topic);
+  return reads != store_reads_.end() && reads->second.previous >= until &&
+         StoreReachableFor(now) >= period;
+}
+
 void FleetState::PeerReachedStore(Duration reachable_for, std::int64_t generation, Time now) {
   const bool is_current =
       ResolveGeneration(Topic::kServers, generation) >= position(Topic::kServers).generation;
--- a/packages/gateway/src/fleet_state.h
+++ b/packages/gateway/src/fleet_state.h
@@ -30,6 +30,9 @@
   std::optional<Time> missing_since;
 };
 
+/// Origin of pages that were read from the store, in the order of the calls.
+inline constexpr std::string_view kStoreSource = "store";
+
 /// This gateway's view of the configuration, zones and backend servers, built from records of the
 /// store or copied from peers. A configuration is only replaced by a newer version. Not thread
 /// safe.
@@ -49,7 +52,7 @@
   /// newest configuration and records of servers stay, and so do evacuations, until a record of the
   /// new generation ends them.
   /// \param complete  True if the page holds all records: keys that it does not list are removed.
-  /// \param source    Origin of the records, for the log.
+  /// \param source    Origin of the records, for the log; `kStoreSource` for pages of the store.
   /// \return False if the page was ignored, as it is below the topic's position, or holds changes
   /// of a later generation.
   bool Apply(Topic topic, const RecordPage& page, bool complete, std::string_view source, Time now);
@@ -65,7 +68,8 @@
   void HistoryReplaced(Topic topic, Time now);
   /// Removes backend servers whose records disappeared during an outage and did not reappear.
   void RemoveMissingServers(Time now);
-  /// Ends evacuations that the restored store still lacks, and adds servers that it still lists.
+  /// Ends evacuations that the restored store still lacks, and adds servers that it still lists,
+  /// once the store was reachable for the whole time and has been read after it.
   void ExpireHeldRecords(Time now);
   /// Notes that a call to the store failed.
   void StoreFailed() { store_unreachable_ = true; }
@@ -119,6 +123,9 @@
   /// True if records may have disappeared because of an outage of the store, as opposed to a
   /// network fault between this gateway and the store.
   [[nodiscard]] bool StoreMayHaveBeenDown(Time now) const;
+  /// True if the store has been reachable for `period` and a read of the topic that began at
+  /// `until` or later has ended.
+  [[nodiscard]] bool StoreConfirms(Topic topic, Time until, Duration period, Time now) const;
   /// Applies the absence of a known record from a complete page.
   /// \param restored  True if the page is the first one of a generation.
   void ApplyAbsence(Topic topic, const std::string& key, bool restored, std::string_view source,
@@ -149,6 +156,14 @@
     Time until;
   };
 
+  /// When the last two pages of a topic were read from the store. The call for the last one began
+  /// after the previous one was applied, so it shows what the store held then, also if this process
+  /// was frozen in between.
+  struct StoreReads {
+    Time last;
+    Time previous;
+  };
+
   std::shared_ptr<const Configuration> configuration_;
   /// Key of its record, and the generation that the record was read in.
   std::string configuration_key_;
@@ -172,6 +187,7 @@
   absl::flat_hash_map<std::string, DoubtfulRecord> doubtful_records_;
   std::map<Topic, std::map<std::string, std::string>> records_;
   std::map<Topic, StorePosition> positions_;
+  std::map<Topic, StoreReads> store_reads_;
   /// Topics of which more than one generation was seen.
   absl::flat_hash_set<Topic> restored_topics_;
   /// Topics whose next complete page replaces their history.
--- a/tests/unit/fleet_restore_test.cc
+++ b/tests/unit/fleet_restore_test.cc
@@ -11,6 +11,24 @@
 using testing::At;
 using testing::FleetFixture;
 
+namespace {
+
+/// Reads an empty page of changes from the store.
+void ReadStore(FleetState& fleet, Topic topic, Time now) {
+  RecordPage page{.next_offset = fleet.offset(topic)};
+  page.generation = fleet.position(topic).generation;
+  CHECK(fleet.Apply(topic, page, false, "store", now));
+}
+
+/// Reads from the store twice, so that the second call began at `now`, and expires records.
+void ReadAndExpire(FleetState& fleet, Topic topic, Time now) {
+  ReadStore(fleet, topic, now);
+  ReadStore(fleet, topic, now);
+  fleet.ExpireHeldRecords(now);
+}
+
+}  // namespace
+
 TEST_CASE("a restored store takes back neither a configuration nor an evacuation") {
   FleetFixture fixture;
   FleetState& fleet = fixture.fleet;
@@ -44,9 +62,9 @@
   fixture.Put(Topic::kServers, "i-1", "11", At(0));
   fixture.Put(Topic::kOperator, "z", "{}", At(0));
   fixture.fleet.Apply(Topic::kOperator, {.generation = 1}, true, "test", At(1000));
-  fixture.fleet.ExpireHeldRecords(At(60900));
+  ReadAndExpire(fixture.fleet, Topic::kOperator, At(60900));
   CHECK(fixture.eligible_count() == 0);
-  fixture.fleet.ExpireHeldRecords(At(61000));
+  ReadAndExpire(fixture.fleet, Topic::kOperator, At(61000));
   CHECK(fixture.eligible_count() == 1);
 }
 
@@ -69,9 +87,9 @@
   REQUIRE(fixture.eligible_count() == 1);
   CHECK(fleet.EligibleServers("s")[0]->server.name == "i-3");
   CHECK(!fleet.records(Topic::kServers).contains("i-1"));
-  fleet.ExpireHeldRecords(At(20900));
+  ReadAndExpire(fleet, Topic::kServers, At(20900));
   CHECK(fixture.eligible_count() == 1);
-  fleet.ExpireHeldRecords(At(21000));
+  ReadAndExpire(fleet, Topic::kServers, At(21000));
   CHECK(fixture.eligible_count() == 2);
 }
 
@@ -89,7 +107,57 @@
   // Another list of the same history is no reason to wait longer.
   CHECK(fleet.Apply(Topic::kServers, copy, true, "store", At(20000)));
   CHECK(fixture.eligible_count() == 0);
-  fleet.ExpireHeldRecords(At(21100));
+  ReadAndExpire(fleet, Topic::kServers, At(21100));
+  CHECK(fixture.eligible_count() == 1);
+}
+
+TEST_CASE("what a restored store lacks or lists isn't decided while the store is away") {
+  FleetFixture fixture;
+  FleetState& fleet = fixture.fleet;
+  fixture.offset = 20;
+  fixture.Put(Topic::kServers, "i-1", "11", At(-9000));
+  fixture.Put(Topic::kServers, "i-2", "11", At(-9000));
+  fixture.Delete("i-2", At(0));
+  fixture.Put(Topic::kOperator, "z", "{}", At(0));
+  const RecordPage copy{.records = {{.key = "i-1", .value = "11"}, {.key = "i-2", .value = "11"}},
+                        .next_offset = 10,
+                        .generation = 1};
+  fleet.Apply(Topic::kServers, copy, true, "store", At(1000));
+  fleet.Apply(Topic::kOperator, {.generation = 1}, true, "store", At(1000));
+  fleet.StoreFailed();
+  fleet.ExpireHeldRecords(At(90000));
+  CHECK(fleet.Find(HandleOf<testing::ServerId>("i-21")) == nullptr);
+  CHECK(fleet.HeldEvacuations(At(90000)).at("z") == seconds(0));
+  fleet.StoreRecovered(At(100000));
+  ReadAndExpire(fleet, Topic::kServers, At(119900));
+  CHECK(fleet.Find(HandleOf<testing::ServerId>("i-21")) == nullptr);
+  ReadAndExpire(fleet, Topic::kServers, At(120000));
+  CHECK(fleet.Find(HandleOf<testing::ServerId>("i-21")) != nullptr);
+  ReadAndExpire(fleet, Topic::kOperator, At(159900));
+  CHECK(fixture.eligible_count() == 0);
+  ReadAndExpire(fleet, Topic::kOperator, At(160000));
+  CHECK(fixture.eligible_count() == 2);
+}
+
+TEST_CASE("a gateway that was frozen reads the store before it ends a hold") {
+  FleetFixture fixture;
+  FleetState& fleet = fixture.fleet;
+  fixture.Put(Topic::kServers, "i-1", "11", At(0));
+  fixture.Put(Topic::kOperator, "z", "{}", At(0));
+  fleet.Apply(Topic::kOperator, {.generation = 1}, true, "store", At(1000));
+  ReadAndExpire(fleet, Topic::kOperator, At(2000));
+  fleet.ExpireHeldRecords(At(70000));
+  CHECK(fixture.eligible_count() == 0);
+  // The response may have been sent before the freeze.
+  ReadStore(fleet, Topic::kOperator, At(70000));
+  fleet.ExpireHeldRecords(At(70000));
+  CHECK(fixture.eligible_count() == 0);
+  ReadStore(fleet, Topic::kServers, At(70100));
+  ReadStore(fleet, Topic::kServers, At(70100));
+  fleet.ExpireHeldRecords(At(70100));
+  CHECK(fixture.eligible_count() == 0);
+  ReadStore(fleet, Topic::kOperator, At(70200));
+  fleet.ExpireHeldRecords(At(70200));
   CHECK(fixture.eligible_count() == 1);
 }
 
