Forget doubtful records that the store no longer lists

A departed server that a restored store listed at first was used 20 s later even if a later list of the store lacked it. A doubtful record isn't among the known ones, so that its absence removed nothing.

A complete page of the store now removes the doubtful records that it lacks. A peer's page doesn't, as peers omit what they doubt. A deletion in a change page removed them before; the test covers it too.

fleet_restore_test: "a departed server that a restored store no longer lists isn't used" failed on (1 check) and passes now, 9 of 9 cases.

--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -65,8 +65,7 @@
 }
 
 std::int64_t FleetState::ResolveGeneration(Topic topic, std::int64_t stated) const {
-  const bool only_one = !restored_topics_.contains(topic);
-  return stated == 0 && only_one ? position(topic).generation : stated;
+  return stated == 0 && !restored_topics_.contains(topic) ? position(topic).generation : stated;
 }
 
 std::int64_t FleetState::held_digest() const { return DigestOfKeys(held_evacuations_); }
@@ -170,6 +169,12 @@
       ApplyAbsence(topic, key, restored, source, now);
     }
   }
+  if (complete && topic == Topic::kServers && source == kStoreSource) {
+    // Peers omit what they doubt.
+    absl::erase_if(doubtful_records_, [&](const auto& item) {
+      return std::ranges::find(page.records, item.first, &Record::key) == page.records.end();
+    });
+  }
   for (const Record& record : page.records) {
     if (topic == Topic::kOperator) {
       ApplyOperatorRecord(record, page.generation, source, now);
@@ -245,8 +250,7 @@
 }
 
 void FleetState::ExpireHeldRecords(Time now) {
-  const auto held = held_evacuations_;
-  for (const auto& [key, until] : held) {
+  for (const auto& [key, until] : std::map(held_evacuations_)) {
     if (StoreConfirms(Topic::kOperator, until, kMaxHoldTime, now)) {
       ApplyOperatorRecord({.key = key}, position(Topic::kOperator).generation, "timeout", now);
     }
@@ -426,8 +430,7 @@
 }
 
 bool FleetState::StoreMayHaveBeenDown(Time now) const {
-  const bool recently_unreachable =
-      store_unreachable_ || StoreReachableFor(now) < kReregistrationTime;
+  const bool recently_unreachable = StoreReachableFor(now) < kReregistrationTime;
   return recently_unreachable && now - peer_reached_store_at_ > kPeerStoreStatusTtl;
 }
 
--- a/tests/unit/fleet_restore_test.cc
+++ b/tests/unit/fleet_restore_test.cc
@@ -111,6 +111,30 @@
   CHECK(fixture.eligible_count() == 1);
 }
 
+TEST_CASE("a departed server that a restored store no longer lists isn't used") {
+  FleetFixture fixture;
+  FleetState& fleet = fixture.fleet;
+  fixture.offset = 20;
+  for (const char* key : {"i-1", "i-2", "i-3"}) {
+    fixture.Put(Topic::kServers, key, "11", At(-9000));
+    fixture.Delete(key, At(0));
+  }
+  const Record kept{.key = "i-3", .value = "11"};
+  RecordPage copy{.records = {{.key = "i-1", .value = "11"}, {.key = "i-2", .value = "11"}, kept},
+                  .next_offset = 10,
+                  .generation = 1};
+  fleet.Apply(Topic::kServers, copy, true, "store", At(1000));
+  fleet.Apply(Topic::kServers, {.records = {{.key = "i-1"}}, .next_offset = 11, .generation = 1},
+              false, "store", At(2000));
+  // A peer doesn't list what it doubts.
+  fleet.Apply(Topic::kServers, {.next_offset = 12, .generation = 1}, true, "peer", At(3000));
+  copy = {.records = {kept}, .next_offset = 13, .generation = 1};
+  fleet.Apply(Topic::kServers, copy, true, "store", At(4000));
+  ReadAndExpire(fleet, Topic::kServers, At(21000));
+  REQUIRE(fixture.eligible_count() == 1);
+  CHECK(fleet.EligibleServers("s")[0]->server.name == "i-3");
+}
+
 TEST_CASE("what a restored store lacks or lists isn't decided while the store is away") {
   FleetFixture fixture;
   FleetState& fleet = fixture.fleet;
