Hold an evacuation for the full time after a second restore

An evacuation that was held since one restore of the store kept the end of its hold when the store was restored again, and peers were told what was left of it. The operator writes lost records again within a minute of a restore, so that the minute begins anew with each.

Later complete pages of the same history still leave the hold as it is.

--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -204,7 +204,7 @@
     ApplyServerRecord({.key = key}, false, now);
     return;
   }
-  if (held_evacuations_.contains(key) || key == configuration_key_) {
+  if ((held_evacuations_.contains(key) && !restored) || key == configuration_key_) {
     return;
   }
   if (restored) {
--- a/tests/unit/fleet_restore_test.cc
+++ b/tests/unit/fleet_restore_test.cc
@@ -68,6 +68,17 @@
   CHECK(fixture.eligible_count() == 1);
 }
 
+TEST_CASE("an evacuation that a second restore lacks too is held for a minute again") {
+  FleetFixture fixture;
+  FleetState& fleet = fixture.fleet;
+  fixture.Put(Topic::kOperator, "z", "{}", At(0));
+  fleet.Apply(Topic::kOperator, {.generation = 1}, true, "store", At(1000));
+  fleet.Apply(Topic::kOperator, {.generation = 1}, true, "store", At(31000));
+  CHECK(fleet.HeldEvacuations(At(31000)).at("z") == seconds(30));
+  fleet.Apply(Topic::kOperator, {.generation = 2}, true, "store", At(51000));
+  CHECK(fleet.HeldEvacuations(At(51000)).at("z") == seconds(60));
+}
+
 TEST_CASE("a restored store brings back no server that left, unless it goes on listing it") {
   FleetFixture fixture;
   FleetState& fleet = fixture.fleet;
