--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <numeric>
+#include <utility>
 
 #include "clock.h"
 
@@ -64,8 +65,7 @@
 }
 
 std::int64_t FleetState::ResolveGeneration(Topic topic, std::int64_t stated) const {
-  const bool only_one = !restored_topics_.contains(topic);
-  return stated == 0 && only_one ? position(topic).generation : stated;
+  return stated == 0 && !restored_topics_.contains(topic) ? position(topic).generation : stated;
 }
 
 std::int64_t FleetState::held_digest() const { return DigestOfKeys(held_evacuations_); }
@@ -78,7 +78,7 @@
 std::map<std::string, milliseconds> FleetState::HeldEvacuations(Time now) const {
   std::map<std::string, milliseconds> remaining;
   for (const auto& [key, until] : held_evacuations_) {
-    remaining[key] = std::chrono::duration_cast<milliseconds>(until - now);
+    remaining[key] = std::chrono::duration_cast<milliseconds>(std::max(until - now, Duration{0}));
   }
   return remaining;
 }
@@ -161,16 +161,26 @@
   }
   UpdateRecentChanges(topic, page, complete, previous.offset);
   positions_[topic] = next;
+  if (source == kStoreSource) {
+    store_reads_[topic].previous = std::exchange(store_reads_[topic].last, now);
+  }
   if (complete) {
     for (const std::string& key : AbsentKeys(records_[topic], page)) {
       ApplyAbsence(topic, key, restored, source, now);
     }
   }
+  if (complete && topic == Topic::kServers && source == kStoreSource) {
+    // Peers omit what they doubt.
+    absl::erase_if(doubtful_records_, [&](const auto& item) {
+      return std::ranges::find(page.records, item.first, &Record::key) == page.records.end();
+    });
+  }
   for (const Record& record : page.records) {
     if (topic == Topic::kOperator) {
       ApplyOperatorRecord(record, page.generation, source, now);
     } else if (topic == Topic::kServers) {
-      ApplyServerRecord(record, restored, now);
+      // A peer's copy may have been the first page of the generation.
+      ApplyServerRecord(record, complete && restored_topics_.contains(topic), now);
     }
   }
   if (restored) {
@@ -191,10 +201,10 @@
 void FleetState::ApplyAbsence(Topic topic, const std::string& key, bool restored,
                               std::string_view source, Time now) {
   if (topic == Topic::kServers) {
-    ApplyServerRecord({.key = key}, restored, now);
+    ApplyServerRecord({.key = key}, false, now);
     return;
   }
-  if (held_evacuations_.contains(key) || key == configuration_key_) {
+  if ((held_evacuations_.contains(key) && !restored) || key == configuration_key_) {
     return;
   }
   if (restored) {
@@ -240,15 +250,14 @@
 }
 
 void FleetState::ExpireHeldRecords(Time now) {
-  const auto held = held_evacuations_;
-  for (const auto& [key, until] : held) {
-    if (now >= until) {
+  for (const auto& [key, until] : std::map(held_evacuations_)) {
+    if (StoreConfirms(Topic::kOperator, until, kMaxHoldTime, now)) {
       ApplyOperatorRecord({.key = key}, position(Topic::kOperator).generation, "timeout", now);
     }
   }
   std::vector<Record> listed;
   for (const auto& [key, doubtful] : doubtful_records_) {
-    if (now >= doubtful.until) {
+    if (StoreConfirms(Topic::kServers, doubtful.until, kDoubtTime, now)) {
       listed.push_back(doubtful.record);
     }
   }
@@ -329,7 +338,7 @@
              {{"zone", zone}, {"source", source}});
 }
 
-void FleetState::ApplyServerRecord(const Record& record, bool restored, Time now) {
+void FleetState::ApplyServerRecord(const Record& record, bool may_be_old, Time now) {
   auto& raw = records_[Topic::kServers];
   if (!record.value.has_value()) {
     raw.erase(record.key);
@@ -353,8 +362,9 @@
     if (decoded->id != previous.id) {
       RemoveServer(record.key, "restarted", now);
     }
-  } else if (restored && departed_servers_.Includes(record.key, *decoded)) {
-    doubtful_records_[record.key] = {.record = record, .until = now + kDoubtTime};
+  } else if (may_be_old && departed_servers_.Includes(record.key, *decoded)) {
+    const auto [it, inserted] = doubtful_records_.try_emplace(record.key);
+    it->second = {.record = record, .until = inserted ? now + kDoubtTime : it->second.until};
     return;
   }
   raw[record.key] = *record.value;
@@ -405,6 +415,12 @@
   return store_unreachable_ || positions_.empty() ? Duration{0} : now - store_reachable_since_;
 }
 
+bool FleetState::StoreConfirms(Topic topic, Time until, Duration period, Time now) const {
+  const auto reads = store_reads_.find(topic);
+  return reads != store_reads_.end() && reads->second.previous >= until &&
+         StoreReachableFor(now) >= period;
+}
+
 void FleetState::PeerReachedStore(Duration reachable_for, std::int64_t generation, Time now) {
   const bool is_current =
       ResolveGeneration(Topic::kServers, generation) >= position(Topic::kServers).generation;
@@ -414,8 +430,7 @@
 }
 
 bool FleetState::StoreMayHaveBeenDown(Time now) const {
-  const bool recently_unreachable =
-      store_unreachable_ || StoreReachableFor(now) < kReregistrationTime;
+  const bool recently_unreachable = StoreReachableFor(now) < kReregistrationTime;
   return recently_unreachable && now - peer_reached_store_at_ > kPeerStoreStatusTtl;
 }
 
