--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -27,7 +27,7 @@
 # The soak test is idle most of the time between its steps, so it runs in parallel with the others.
 timeout 300 build/gateway_soak --seconds 4 --seeds 101-105,110 >build/test-logs/gateway_soak.log 2>&1 &
 soak=$!
-timeout 420 build/gateway_soak --seconds 4 --regressions tests/soak/regression_seeds.txt \
+timeout 580 build/gateway_soak --seconds 4 --regressions tests/soak/regression_seeds.txt \
   >build/test-logs/gateway_soak_regressions.log 2>&1 &
 regressions=$!
 for program in build/tests/*_test; do
