--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -36,7 +36,7 @@
     fleet_.HistoryReplaced(options_.topic, Now());
   }
   snapshot_read_ = true;
-  fleet_.Apply(options_.topic, *page, true, "store", Now());
+  fleet_.Apply(options_.topic, *page, true, kStoreSource, Now());
   co_return absl::OkStatus();
 }
 
@@ -70,7 +70,7 @@
   if (page->generation < from.generation) {
     co_return OlderGeneration(page->generation, from.generation);
   }
-  fleet_.Apply(options_.topic, *page, false, "store", Now());
+  fleet_.Apply(options_.topic, *page, false, kStoreSource, Now());
   co_return absl::OkStatus();
 }
 
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -315,11 +315,6 @@
           .dump());
 }
 
-int PlatformWorld::refused_store_calls() const {
-  const std::scoped_lock lock(mutex_);
-  return refused_store_calls_;
-}
-
 http::Response PlatformWorld::Stream(const http::Request& request, ServerMode mode,
                                      milliseconds pause) {
   constexpr int kEventsBeforeBreak = 2;
--- a/tests/support/platform_world_store.cc
+++ b/tests/support/platform_world_store.cc
@@ -129,6 +129,11 @@
   states_era_ = false;
 }
 
+int PlatformWorld::refused_store_calls() const {
+  const std::scoped_lock lock(mutex_);
+  return refused_store_calls_;
+}
+
 asio::awaitable<http::Response> PlatformWorld::HandleStore(http::Request request) {
   std::optional<int> era;
   http::Response response = co_await HandleStoreCall(std::move(request), era);
