--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -523,6 +523,14 @@
     ++sequence_;
     store_.Put("keyed.servers", id_, EntryJson(state_));
   }
+  /// The text of its next heartbeat, which is written by the caller.
+  std::string NextBeat() {
+    const Lock lock(mutex_);
+    ++sequence_;
+    return EntryJson(state_);
+  }
+  /// Ends its heartbeats; it goes on serving.
+  void StopBeating() { beating_ = false; }
   /// Reports that it takes no new requests. The store has accepted it when this returns.
   void Drain() {
     {
