--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -654,7 +654,12 @@
     }
     started_at = Seconds();
   }
-  void Signal(int signal) { ::kill(pid_, signal); }
+  /// Has no effect unless the process runs or has not been waited for.
+  void Signal(int signal) {
+    if (pid_ > 0) {
+      ::kill(pid_, signal);
+    }
+  }
   bool Running() {
     if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
       pid_ = -1;
