--- a/review/standins/late_beat.cc
+++ b/review/standins/late_beat.cc
@@ -64,7 +64,7 @@
       finish(2);
     }
   }
-  for (int client = 0; client < 6; ++client) {
+  for (int client = 0; client < 12; ++client) {
     std::thread([&, client] {
       for (int i = 0; !finished; ++i) {
         const int gateway = (client + i) % kGateways;
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -617,7 +617,7 @@
         << "{\"node_name\":\"edge-" << number << "\",\"role\":\"gateway\","
         << "\"machine_class\":\"edge\",\"serves\":[\"edge\",\"control\"],\"ip\":\"" << ip_
         << "\",\"zone\":\"z" << number
-        << "\",\"region\":\"r\",\"zones\":{\"z1\":\"r\",\"z2\":\"r\"},"
+        << "\",\"region\":\"r\",\"zones\":{\"z1\":\"r\",\"z2\":\"r\",\"z3\":\"r\",\"z4\":\"r\"},"
         << "\"listen\":{\"front\":" << listen(kFront) << ",\"ready\":" << listen(kReady)
         << ",\"control\":" << listen(kControl) << "},\"port_range\":[" << kPeer << "," << kPeer + 15
         << "],\"seeds\":[" << seeds << "],\"bootstrap\":true,\"counts_as_loss\":false,"
