--- a/review/standins/poison.h
+++ b/review/standins/poison.h
@@ -42,7 +42,7 @@
   }
 
   /// Sends the deadly request once to a gateway. \return Status of the answer, 0 without one.
-  int SendDeadly(int gateway, const std::string& target) {
+  int SendDeadly(int gateway, const std::string& target, const std::string& body = kDeadlyBody) {
     if (stopping == gateway) {
       gateway = (gateway + 1) % kGateways;
     }
@@ -56,10 +56,10 @@
     const auto socket = gateways[gateway]->Connect();
     Message response;
     const bool answered = socket != nullptr &&
-                          socket->Write(RequestText("POST", target, id, kDeadlyBody)) &&
+                          socket->Write(RequestText("POST", target, id, body)) &&
                           ReadMessage(*socket, response, false, 5);
     record("client: POST %s, body '%s', as %s at edge-%d (in touch: %s): %s%d", target.c_str(),
-           kDeadlyBody, id.c_str(), gateway + 1, in_touch ? "yes" : "no",
+           body.c_str(), id.c_str(), gateway + 1, in_touch ? "yes" : "no",
            answered ? "status " : "no answer ", response.status);
     return response.status;
   }
