A prefill rate for each engine, and the time that a response needs

Engines read 1.7 of 4.4 million tokens a second while half of the requests were refused. Long responses were refused on idle engines by a constant of 9 ms for each token that they may have. Change: tokens and time of measured prefills are summed for each engine and reported to peers; late gateways give no samples; tokens that peers report later count as queued ahead in proportion. The caller's estimate of the response's length is decoded, and the time per output token is learned from complete responses.

--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -300,7 +300,7 @@
   response_begun_ = true;
   const Time now = Now();
   if (accepted_.request.prompt) {
-    context_.load.RecordFirstByte(server.id, load_request_number_, now);
+    context_.load.RecordFirstByte(server.id, load_request_number_, now, context_.monitor.lag());
     const Duration expected = decision_.estimate.queueing_delay + decision_.estimate.prefill_time;
     context_.metrics.ObserveStartError(Milliseconds(expected) / 1000,
                                        Milliseconds(now - sent_at_) / 1000);
@@ -413,6 +413,9 @@
   } else {
     context_.health.RecordSuccess(server.id, Now());
     RecordCompleteResponse();
+    if (accepted_.request.prompt && attempts_ == 1 && accepted_.request.last_event_id.empty()) {
+      context_.load.RecordComplete(server.id, load_request_number_, Now());
+    }
   }
   if (!stream_begun_) {
     stream_begun_ = true;
--- a/packages/gateway/src/report_filter.cc
+++ b/packages/gateway/src/report_filter.cc
@@ -29,7 +29,7 @@
   std::erase_if(report.engines, [this](const policy::EngineReport& engine) {
     const std::uint64_t fingerprint = CombineHashes(
         CombineHashes(engine.prefill_tokens, static_cast<std::uint64_t>(engine.running)),
-        static_cast<std::uint64_t>(engine.running_tokens));
+        CombineHashes(static_cast<std::uint64_t>(engine.running_tokens), engine.measured_tokens));
     return !IsDue(engine.server.value, fingerprint);
   });
   std::erase_if(report.customers, [this](const policy::CustomerReport& customer) {
--- a/packages/policy/include/lagoonwind/engine_load.h
+++ b/packages/policy/include/lagoonwind/engine_load.h
@@ -2,6 +2,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -29,7 +30,14 @@
 struct Prompt {
   std::int64_t input_tokens = 0;
   std::int64_t max_output_tokens = 0;
+  /// The caller's estimate of the response's length; often far off. Absent if it states none.
+  std::optional<std::int64_t> expected_output_tokens;
   std::vector<PromptSegment> segments;
+
+  /// Likely length of the response, in tokens.
+  [[nodiscard]] std::int64_t output_tokens() const {
+    return std::min(expected_output_tokens.value_or(max_output_tokens), max_output_tokens);
+  }
 };
 
 /// Options of EngineLoad.
@@ -39,6 +47,8 @@
   /// Time since its last use after which a segment no longer counts as cached on engines of unknown
   /// KV cache capacity, nor as cached elsewhere. Also the decay time of segment use counts.
   Duration segment_lifetime = std::chrono::seconds(6);
+  /// Initial estimate of the time per output token.
+  Duration time_per_output_token = std::chrono::milliseconds(9);
   /// Time since a peer's last report after which its running requests are no longer counted.
   Duration peer_timeout = std::chrono::seconds(5);
 };
@@ -68,6 +78,10 @@
   std::uint64_t prefill_tokens = 0;
   std::int64_t running = 0;
   std::int64_t running_tokens = 0;
+  /// Tokens of the prefills whose duration was measured, and their total duration. Both count from
+  /// the gateway's start.
+  std::uint64_t measured_tokens = 0;
+  std::chrono::microseconds measured_time{0};
 };
 
 /// A prompt segment that a gateway has recently sent to an engine.
@@ -107,7 +121,13 @@
   RequestNumber RecordSent(ServerId server, const Prompt& prompt, Time now);
   /// Records the first byte of the response, which shows that the engine has prefilled this prompt
   /// and all earlier ones. Unknown requests are ignored.
-  void RecordFirstByte(ServerId server, RequestNumber request, Time now);
+  /// \param local_delay  Time by which this process is late in handling events. A late process
+  ///     gives no sample of the engine's prefill rate.
+  void RecordFirstByte(ServerId server, RequestNumber request, Time now,
+                       Duration local_delay = Duration{0});
+  /// Records that the response is complete, which shows the time per output token. Unknown requests
+  /// are ignored.
+  void RecordComplete(ServerId server, RequestNumber request, Time now);
   /// Records the end of the request. If no byte of its response has arrived, its prefill work
   /// leaves the queue, as the engine drops the prompt. Unknown requests are ignored.
   void RecordEnd(ServerId server, RequestNumber request, Time now);
@@ -126,20 +146,44 @@
 
   /// Removes an engine that is gone.
   void Remove(ServerId server);
-  /// Estimated prefill rate of an engine, in tokens per second, learned from response times.
-  [[nodiscard]] double prefill_rate() const { return prefill_rate_; }
+  /// Estimated time per token of Prompt::output_tokens(), from the first byte to the end of a
+  /// response; half of the responses take longer.
+  [[nodiscard]] Duration time_per_output_token() const { return time_per_output_token_; }
+  /// Estimated mean prefill rate of an engine, in tokens per second, learned from response times.
+  [[nodiscard]] double prefill_rate() const { return fleet_rate_.Rate(); }
+  /// Estimated prefill rate of one engine, in tokens per second; the mean rate if it is unknown.
+  [[nodiscard]] double prefill_rate(ServerId server) const { return RateOf(FindEngine(server)); }
 
  private:
+  /// Ratio of tokens to time over recent prefills, with exponential decay of both sums.
+  class RateEstimate {
+   public:
+    /// \param rate    Initial estimate, in tokens per second.
+    /// \param weight  Time of prefills that the initial estimate counts as.
+    RateEstimate(double rate, Duration weight)
+        : tokens_(rate * Seconds(weight)), seconds_(Seconds(weight)) {}
+    /// \param memory  Time of prefills after which a sample has lost most of its weight.
+    void Add(double tokens, double seconds, Duration memory);
+    [[nodiscard]] double Rate() const { return tokens_ / seconds_; }
+
+   private:
+    static double Seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+    double tokens_;
+    double seconds_;
+  };
   struct RunningRequest {
     RequestNumber number = 0;
     Time sent_at;
     /// `Engine::total_prefill_tokens` after this request was added.
     std::uint64_t end_position = 0;
     std::int64_t uncached_tokens = 0;
-    /// Prefill tokens queued ahead of it when it was sent.
+    /// Prefill tokens queued ahead of it when it was sent, with those that peers reported since.
     std::int64_t queued_tokens = 0;
     std::int64_t kv_tokens = 0;
+    /// Zero if it is unknown.
+    std::int64_t output_tokens = 0;
     bool first_byte_received = false;
+    Time first_byte_at{};
   };
   struct PeerState {
     EngineReport last_report;
@@ -155,6 +199,10 @@
     std::uint64_t total_prefill_tokens = 0;
     std::uint64_t local_prefill_tokens = 0;
     std::int64_t local_kv_tokens = 0;
+    std::uint64_t local_measured_tokens = 0;
+    std::chrono::microseconds local_measured_time{0};
+    /// Absent before the first measurement.
+    std::optional<RateEstimate> rate;
     std::vector<RunningRequest> running;
     /// KV cache capacity for prompts and responses, in tokens; 0 if unknown.
     std::int64_t kv_cache_tokens = 0;
@@ -195,7 +243,10 @@
     int caching_engines = 0;
   };
 
-  [[nodiscard]] Duration PrefillTime(std::int64_t tokens) const;
+  [[nodiscard]] double RateOf(const Engine* engine) const {
+    return engine != nullptr && engine->rate ? engine->rate->Rate() : fleet_rate_.Rate();
+  }
+  [[nodiscard]] Duration PrefillTime(const Engine* engine, std::int64_t tokens) const;
   /// \param since  Earliest time at which the engine may have started on the tokens.
   void AddPrefillWork(Engine& engine, std::uint64_t tokens, Time since) const;
   [[nodiscard]] std::vector<SegmentLookup> LookUpSegments(const Prompt& prompt, Time now) const;
@@ -213,16 +264,22 @@
   [[nodiscard]] static std::int64_t RunningTokens(const Engine& engine) {
     return engine.local_kv_tokens + engine.peers_kv_tokens;
   }
+  /// Adds a measured prefill to the estimates of the engine and of the fleet.
+  void AddRateSample(Engine& engine, double tokens, double seconds);
+  /// Counts tokens that a peer sent at an even rate in a period that ends now as queued ahead of
+  /// the local requests that were sent later.
+  static void AddTokensAhead(Engine& engine, std::uint64_t tokens, Time since, Time now);
   static void ApplyReport(Engine& engine, PeerState& state, const EngineReport& report, Time now);
   /// True if the engine still caches a segment that it used.
   [[nodiscard]] bool IsCached(const Engine& engine, const SegmentUse& use, Time now) const;
-  void UpdatePrefillRate(const RunningRequest& request, Time now);
+  void MeasurePrefill(Engine& engine, const RunningRequest& request, Time now);
   void RecordSegmentUse(const Engine& engine, std::uint64_t prefix_hash, Time now);
   /// Removes segments that no engine caches any more.
   void SweepSegments(Time now);
 
   EngineLoadOptions options_;
-  double prefill_rate_ = options_.prefill_rate;
+  RateEstimate fleet_rate_;
+  Duration time_per_output_token_ = options_.time_per_output_token;
   RequestNumber last_request_number_ = 0;
   absl::flat_hash_map<ServerId, std::unique_ptr<Engine>> engines_;
   /// Null for engines that are gone.
--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -67,8 +67,6 @@
 /// one would refuse it. Such customers send little, so that repeated prefill for them costs little;
 /// for all customers, it would use more capacity under load than it finds.
 constexpr double kLightUsage = 0.5;
-/// Time per output token while the engine also prefills prompts.
-constexpr Duration kTimePerOutputToken = std::chrono::microseconds(9000);
 /// Fraction of an engine's KV cache that running requests may need beyond shared segments.
 constexpr double kKvCacheFraction = 0.8;
 /// Fraction of an engine's capacity that long responses leave to short ones, and the response
@@ -181,7 +179,8 @@
   cost += kRunningRequestCost * static_cast<double>(estimate.running);
   const double repeated_prefill_weight =
       kRepeatedPrefillWeight + kRepeatedPrefillWeightPerSecond * inputs.mean_queueing_delay_s;
-  cost += repeated_prefill_weight * estimate.cached_elsewhere_tokens_per_use / load_.prefill_rate();
+  cost += repeated_prefill_weight * estimate.cached_elsewhere_tokens_per_use /
+          load_.prefill_rate(candidate.server);
   const double first_byte_time =
       ToSeconds(estimate.queueing_delay + estimate.prefill_time + kFirstByteOverhead);
   cost += kLatenessWeight *
@@ -239,7 +238,7 @@
                : DispatchVerdict::kSend;
   }
   const Duration total = estimate.queueing_delay + estimate.prefill_time +
-                         kTimePerOutputToken * request.prompt->max_output_tokens;
+                         load_.time_per_output_token() * request.prompt->output_tokens();
   if (total > request.time_left) {
     return DispatchVerdict::kCannotMeetDeadline;
   }
--- a/packages/policy/src/engine_load.cc
+++ b/packages/policy/src/engine_load.cc
@@ -15,8 +15,20 @@
 constexpr Duration kFirstEventOverhead = milliseconds(60);
 /// Prefill sizes below this give no sample of the rate, as the overhead outweighs the prefill.
 constexpr std::int64_t kMinRateSampleTokens = 6000;
-/// Weight of one sample in the moving average of the prefill rate.
-constexpr double kRateSampleWeight = 0.03;
+/// Time of prefills over which an engine's rate is averaged: several slow spells of a second. That
+/// of the fleet is longer, as all engines add to it.
+constexpr Duration kEngineRateMemory = std::chrono::seconds(3);
+constexpr Duration kFleetRateMemory = std::chrono::seconds(30);
+/// Time of prefills that the initial estimates count as.
+constexpr Duration kInitialRateWeight = milliseconds(500);
+/// Response lengths below this give no sample of the time per output token, as single events
+/// outweigh it.
+constexpr std::int64_t kMinOutputSampleTokens = 32;
+/// Relative change of the estimated time per output token with each sample.
+constexpr double kOutputTimeStep = 0.02;
+constexpr Duration kMinTimePerOutputToken = std::chrono::microseconds(10);
+/// Lateness of this process above which it gives no samples of the prefill rate.
+constexpr Duration kMaxLocalDelay = milliseconds(5);
 /// Samples are clamped to this factor of the current estimate, as larger deviations have other
 /// causes.
 constexpr double kMaxRateSampleRatio = 1.6;
@@ -51,17 +63,25 @@
 }  // namespace
 
 EngineLoad::EngineLoad(const EngineLoadOptions& options)
-    : options_(options), sweep_size_(kSegmentSweepSize) {}
+    : options_(options),
+      fleet_rate_(options.prefill_rate, kInitialRateWeight),
+      sweep_size_(kSegmentSweepSize) {}
+
+void EngineLoad::RateEstimate::Add(double tokens, double seconds, Duration memory) {
+  const double kept = std::exp(-seconds / Seconds(memory));
+  tokens_ = tokens_ * kept + tokens;
+  seconds_ = seconds_ * kept + seconds;
+}
 
-Duration EngineLoad::PrefillTime(std::int64_t tokens) const {
+Duration EngineLoad::PrefillTime(const Engine* engine, std::int64_t tokens) const {
   return duration_cast<Duration>(
-      std::chrono::duration<double>(static_cast<double>(tokens) / prefill_rate_));
+      std::chrono::duration<double>(static_cast<double>(tokens) / RateOf(engine)));
 }
 
 void EngineLoad::AddPrefillWork(Engine& engine, std::uint64_t tokens, Time since) const {
   engine.total_prefill_tokens += tokens;
-  engine.prefill_done_at =
-      std::max(engine.prefill_done_at, since) + PrefillTime(static_cast<std::int64_t>(tokens));
+  engine.prefill_done_at = std::max(engine.prefill_done_at, since) +
+                           PrefillTime(&engine, static_cast<std::int64_t>(tokens));
 }
 
 bool EngineLoad::IsCached(const Engine& engine, const SegmentUse& use, Time now) const {
@@ -157,7 +177,7 @@
       std::accumulate(segments.begin(), segments.end(), std::int64_t{0}, add);
   EngineEstimate estimate{.uncached_tokens =
                               std::max(prompt.input_tokens, segment_tokens) - cached_tokens};
-  estimate.prefill_time = PrefillTime(estimate.uncached_tokens);
+  estimate.prefill_time = PrefillTime(engine, estimate.uncached_tokens);
   for (const SegmentLookup& segment : segments.subspan(cached_count)) {
     if (segment.known) {
       estimate.cached_elsewhere_tokens += segment.tokens;
@@ -174,7 +194,8 @@
       std::ranges::find(engine->running, false, &RunningRequest::first_byte_received);
   if (waiting != engine->running.end()) {
     const Duration expected =
-        PrefillTime(waiting->queued_tokens + waiting->uncached_tokens) + kFirstEventOverhead;
+        PrefillTime(engine, waiting->queued_tokens + waiting->uncached_tokens) +
+        kFirstEventOverhead;
     const Duration overdue = now - waiting->sent_at - expected;
     estimate.queueing_delay =
         std::max(estimate.queueing_delay,
@@ -244,10 +265,11 @@
       .sent_at = now,
       .uncached_tokens = uncached_tokens,
       .queued_tokens = static_cast<std::int64_t>(
-          std::chrono::duration<double>(queueing_delay).count() * prefill_rate_)};
+          std::chrono::duration<double>(queueing_delay).count() * RateOf(&engine))};
   AddPrefillWork(engine, static_cast<std::uint64_t>(uncached_tokens), now);
   request.end_position = engine.total_prefill_tokens;
   request.kv_tokens = uncached_tokens + prompt.max_output_tokens;
+  request.output_tokens = prompt.output_tokens();
   engine.local_prefill_tokens += static_cast<std::uint64_t>(uncached_tokens);
   engine.local_kv_tokens += request.kv_tokens;
   engine.running.push_back(request);
@@ -264,20 +286,46 @@
   return request.number;
 }
 
-void EngineLoad::UpdatePrefillRate(const RunningRequest& request, Time now) {
+void EngineLoad::AddRateSample(Engine& engine, double tokens, double seconds) {
+  if (!engine.rate) {
+    engine.rate.emplace(fleet_rate_.Rate(), kInitialRateWeight);
+  }
+  engine.rate->Add(tokens, seconds, kEngineRateMemory);
+  fleet_rate_.Add(tokens, seconds, kFleetRateMemory);
+}
+
+void EngineLoad::MeasurePrefill(Engine& engine, const RunningRequest& request, Time now) {
   const std::int64_t tokens = request.queued_tokens + request.uncached_tokens;
   const Duration prefill_time = now - request.sent_at - kFirstEventOverhead;
   if (tokens < kMinRateSampleTokens || prefill_time <= Duration{0}) {
     return;
   }
-  const double measured_rate =
-      static_cast<double>(tokens) / std::chrono::duration<double>(prefill_time).count();
-  const double sample = std::clamp(measured_rate, prefill_rate_ / kMaxRateSampleRatio,
-                                   prefill_rate_ * kMaxRateSampleRatio);
-  prefill_rate_ += kRateSampleWeight * (sample - prefill_rate_);
+  const double rate = RateOf(&engine);
+  const double time = std::chrono::duration<double>(prefill_time).count();
+  const double sample = std::clamp(static_cast<double>(tokens) / time, rate / kMaxRateSampleRatio,
+                                   rate * kMaxRateSampleRatio);
+  const double seconds = static_cast<double>(tokens) / sample;
+  AddRateSample(engine, static_cast<double>(tokens), seconds);
+  engine.local_measured_tokens += static_cast<std::uint64_t>(tokens);
+  engine.local_measured_time +=
+      duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(seconds));
 }
 
-void EngineLoad::RecordFirstByte(ServerId server, RequestNumber request, Time now) {
+void EngineLoad::AddTokensAhead(Engine& engine, std::uint64_t tokens, Time since, Time now) {
+  const double period = std::chrono::duration<double>(now - since).count();
+  for (RunningRequest& request : engine.running) {
+    if (request.first_byte_received || request.sent_at <= since) {
+      continue;
+    }
+    const double share = std::chrono::duration<double>(request.sent_at - since).count() / period;
+    const auto ahead = static_cast<std::uint64_t>(static_cast<double>(tokens) * share);
+    request.end_position += ahead;
+    request.queued_tokens += static_cast<std::int64_t>(ahead);
+  }
+}
+
+void EngineLoad::RecordFirstByte(ServerId server, RequestNumber request, Time now,
+                                 Duration local_delay) {
   Engine* found = FindEngine(server);
   if (found == nullptr) {
     return;
@@ -288,10 +336,29 @@
     return;
   }
   found_request->first_byte_received = true;
-  UpdatePrefillRate(*found_request, now);
+  found_request->first_byte_at = now;
+  if (local_delay <= kMaxLocalDelay) {
+    MeasurePrefill(engine, *found_request, now);
+  }
   const auto remaining_tokens =
       static_cast<std::int64_t>(engine.total_prefill_tokens - found_request->end_position);
-  engine.prefill_done_at = now + PrefillTime(remaining_tokens);
+  engine.prefill_done_at = now + PrefillTime(&engine, remaining_tokens);
+}
+
+void EngineLoad::RecordComplete(ServerId server, RequestNumber request, Time now) {
+  const Engine* engine = FindEngine(server);
+  if (engine == nullptr) {
+    return;
+  }
+  const auto found = std::ranges::find(engine->running, request, &RunningRequest::number);
+  if (found == engine->running.end() || !found->first_byte_received ||
+      found->output_tokens < kMinOutputSampleTokens) {
+    return;
+  }
+  const Duration sample = (now - found->first_byte_at) / found->output_tokens;
+  const double step = sample > time_per_output_token_ ? kOutputTimeStep : -kOutputTimeStep;
+  time_per_output_token_ = duration_cast<Duration>(time_per_output_token_ * (1 + step));
+  time_per_output_token_ = std::max(time_per_output_token_, kMinTimePerOutputToken);
 }
 
 void EngineLoad::RecordEnd(ServerId server, RequestNumber request, Time now) {
@@ -305,8 +372,8 @@
     return;
   }
   if (!found_request->first_byte_received) {
-    engine.prefill_done_at =
-        std::max(now, engine.prefill_done_at - PrefillTime(found_request->uncached_tokens));
+    engine.prefill_done_at = std::max(
+        now, engine.prefill_done_at - PrefillTime(&engine, found_request->uncached_tokens));
   }
   engine.local_kv_tokens -= found_request->kv_tokens;
   engine.running.erase(found_request);
@@ -320,7 +387,9 @@
       reports.push_back({.server = server,
                          .prefill_tokens = engine->local_prefill_tokens,
                          .running = static_cast<std::int64_t>(engine->running.size()),
-                         .running_tokens = engine->local_kv_tokens});
+                         .running_tokens = engine->local_kv_tokens,
+                         .measured_tokens = engine->local_measured_tokens,
+                         .measured_time = engine->local_measured_time});
     }
   }
   return reports;
@@ -369,8 +438,17 @@
     const auto [slot, added] = engine.peers.try_emplace(peer);
     PeerState& state = slot->second;
     // The first report of a peer includes tokens from before, which engines have already prefilled.
-    if (!added && report.prefill_tokens > state.last_report.prefill_tokens) {
-      AddPrefillWork(engine, report.prefill_tokens - state.last_report.prefill_tokens, sent_since);
+    const EngineReport& last = state.last_report;
+    if (!added && report.prefill_tokens > last.prefill_tokens) {
+      const std::uint64_t tokens = report.prefill_tokens - last.prefill_tokens;
+      AddPrefillWork(engine, tokens, sent_since);
+      AddTokensAhead(engine, tokens, sent_since, now);
+    }
+    if (!added && report.measured_tokens > last.measured_tokens &&
+        report.measured_time > last.measured_time) {
+      AddRateSample(
+          engine, static_cast<double>(report.measured_tokens - last.measured_tokens),
+          std::chrono::duration<double>(report.measured_time - last.measured_time).count());
     }
     ApplyReport(engine, state, report, now);
   }
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -5150,6 +5150,16 @@
 void EngineLoadReport::__set_running_tokens(const int64_t val) {
   this->running_tokens = val;
 }
+
+void EngineLoadReport::__set_measured_tokens(const int64_t val) {
+  this->measured_tokens = val;
+__isset.measured_tokens = true;
+}
+
+void EngineLoadReport::__set_measured_us(const int64_t val) {
+  this->measured_us = val;
+__isset.measured_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const EngineLoadReport& obj)
 {
   obj.printTo(out);
@@ -5210,6 +5220,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->measured_tokens);
+          this->__isset.measured_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->measured_us);
+          this->__isset.measured_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5243,6 +5269,16 @@
   xfer += oprot->writeI64(this->running_tokens);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.measured_tokens) {
+    xfer += oprot->writeFieldBegin("measured_tokens", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->measured_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.measured_us) {
+    xfer += oprot->writeFieldBegin("measured_us", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->measured_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5254,6 +5290,8 @@
   swap(a.read_tokens, b.read_tokens);
   swap(a.running, b.running);
   swap(a.running_tokens, b.running_tokens);
+  swap(a.measured_tokens, b.measured_tokens);
+  swap(a.measured_us, b.measured_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -5262,6 +5300,8 @@
   read_tokens = other146.read_tokens;
   running = other146.running;
   running_tokens = other146.running_tokens;
+  measured_tokens = other146.measured_tokens;
+  measured_us = other146.measured_us;
   __isset = other146.__isset;
 }
 EngineLoadReport::EngineLoadReport(EngineLoadReport&& other147) noexcept {
@@ -5269,6 +5309,8 @@
   read_tokens = other147.read_tokens;
   running = other147.running;
   running_tokens = other147.running_tokens;
+  measured_tokens = other147.measured_tokens;
+  measured_us = other147.measured_us;
   __isset = other147.__isset;
 }
 EngineLoadReport& EngineLoadReport::operator=(const EngineLoadReport& other148) noexcept {
@@ -5276,6 +5318,8 @@
   read_tokens = other148.read_tokens;
   running = other148.running;
   running_tokens = other148.running_tokens;
+  measured_tokens = other148.measured_tokens;
+  measured_us = other148.measured_us;
   __isset = other148.__isset;
   return *this;
 }
@@ -5284,6 +5328,8 @@
   read_tokens = other149.read_tokens;
   running = other149.running;
   running_tokens = other149.running_tokens;
+  measured_tokens = other149.measured_tokens;
+  measured_us = other149.measured_us;
   __isset = other149.__isset;
   return *this;
 }
@@ -5294,6 +5340,8 @@
   out << ", " << "read_tokens=" << to_string(read_tokens);
   out << ", " << "running=" << to_string(running);
   out << ", " << "running_tokens=" << to_string(running_tokens);
+  out << ", " << "measured_tokens="; (__isset.measured_tokens ? (out << to_string(measured_tokens)) : (out << "<null>"));
+  out << ", " << "measured_us="; (__isset.measured_us ? (out << to_string(measured_us)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -2061,11 +2061,13 @@
 std::ostream& operator<<(std::ostream& out, const Message& obj);
 
 typedef struct _EngineLoadReport__isset {
-  _EngineLoadReport__isset() : server(false), read_tokens(false), running(false), running_tokens(false) {}
+  _EngineLoadReport__isset() : server(false), read_tokens(false), running(false), running_tokens(false), measured_tokens(false), measured_us(false) {}
   bool server :1;
   bool read_tokens :1;
   bool running :1;
   bool running_tokens :1;
+  bool measured_tokens :1;
+  bool measured_us :1;
 } _EngineLoadReport__isset;
 
 class EngineLoadReport : public virtual ::apache::thrift::TBase {
@@ -2079,7 +2081,9 @@
                    : server(0),
                      read_tokens(0),
                      running(0),
-                     running_tokens(0) {
+                     running_tokens(0),
+                     measured_tokens(0),
+                     measured_us(0) {
   }
 
   virtual ~EngineLoadReport() noexcept;
@@ -2087,6 +2091,8 @@
   int64_t read_tokens;
   int64_t running;
   int64_t running_tokens;
+  int64_t measured_tokens;
+  int64_t measured_us;
 
   _EngineLoadReport__isset __isset;
 
@@ -2098,6 +2104,10 @@
 
   void __set_running_tokens(const int64_t val);
 
+  void __set_measured_tokens(const int64_t val);
+
+  void __set_measured_us(const int64_t val);
+
   bool operator == (const EngineLoadReport & rhs) const
   {
     if (!(server == rhs.server))
@@ -2108,6 +2118,14 @@
       return false;
     if (!(running_tokens == rhs.running_tokens))
       return false;
+    if (__isset.measured_tokens != rhs.__isset.measured_tokens)
+      return false;
+    else if (__isset.measured_tokens && !(measured_tokens == rhs.measured_tokens))
+      return false;
+    if (__isset.measured_us != rhs.__isset.measured_us)
+      return false;
+    else if (__isset.measured_us && !(measured_us == rhs.measured_us))
+      return false;
     return true;
   }
   bool operator != (const EngineLoadReport &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -240,6 +240,9 @@
   2: i64 read_tokens
   3: i64 running
   4: i64 running_tokens
+  // Measured prefills since the gateway's start.
+  5: optional i64 measured_tokens
+  6: optional i64 measured_us
 }
 
 // A prompt part that a gateway has lately sent to an engine.
--- a/packages/wire/src/gateway_report.cc
+++ b/packages/wire/src/gateway_report.cc
@@ -35,6 +35,10 @@
   out.read_tokens = ToSigned(report.prefill_tokens);
   out.running = report.running;
   out.running_tokens = report.running_tokens;
+  if (report.measured_tokens > 0) {
+    out.__set_measured_tokens(ToSigned(report.measured_tokens));
+    out.__set_measured_us(report.measured_time.count());
+  }
   return out;
 }
 
@@ -42,7 +46,9 @@
   return {.server = {ToUnsigned(report.server)},
           .prefill_tokens = ToUnsigned(report.read_tokens),
           .running = report.running,
-          .running_tokens = report.running_tokens};
+          .running_tokens = report.running_tokens,
+          .measured_tokens = ToUnsigned(report.measured_tokens),
+          .measured_time = std::chrono::microseconds(report.measured_us)};
 }
 
 gen::PromptPartReport ToWire(const policy::SegmentReport& report) {
@@ -177,7 +183,9 @@
          std::ranges::all_of(report.engines,
                              [&](const gen::EngineLoadReport& engine) {
                                return in_range(engine.read_tokens) && in_range(engine.running) &&
-                                      in_range(engine.running_tokens);
+                                      in_range(engine.running_tokens) &&
+                                      in_range(engine.measured_tokens) &&
+                                      in_range(engine.measured_us);
                              }) &&
          std::ranges::all_of(report.customers,
                              [&](const gen::CustomerShareReport& customer) {
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -225,6 +225,16 @@
   CHECK(fleet.Decide(request, At(0)).verdict == DispatchVerdict::kCannotMeetDeadline);
 }
 
+TEST_CASE("a long response is not refused on an idle engine if the caller expects a short one") {
+  Fleet fleet(1);
+  Prompt prompt = PromptOf(1, 0, 2, 1000, 1000);
+  DispatchRequest request = RequestOf(kLight, prompt);
+  request.time_left = seconds(4);
+  CHECK(fleet.Decide(request, At(0)).verdict == DispatchVerdict::kCannotMeetDeadline);
+  prompt.expected_output_tokens = 280;
+  CHECK(fleet.Decide(request, At(0)).verdict == DispatchVerdict::kSend);
+}
+
 TEST_CASE("failing engines are ejected, unless there is no other") {
   Fleet fleet(2);
   const Prompt prompt = PromptOf(1, 0, 2, 1000);
--- a/tests/unit/users_platform_test.cc
+++ b/tests/unit/users_platform_test.cc
@@ -138,6 +138,20 @@
   }
 }
 
+TEST_CASE("a malformed estimate of the response's length is ignored") {
+  const auto codec = MakeHeaderCodec();
+  auto head = ValidRequestHead();
+  head.set("X-Length-Hint", "64");
+  CHECK(codec->DecodeRequest(head)->prompt->expected_output_tokens == 64);
+  for (const char* text : {"", "0", "-5", "nan", "1e9", "99999999999", "64,64"}) {
+    CAPTURE(text);
+    head.set("X-Length-Hint", text);
+    const auto request = codec->DecodeRequest(head);
+    REQUIRE(request.ok());
+    CHECK(!request->prompt->expected_output_tokens);
+  }
+}
+
 TEST_CASE("requests are decoded, and malformed or duplicate headers are rejected") {
   const auto codec = MakeHeaderCodec();
   const auto request = codec->DecodeRequest(ValidRequestHead());
