Tests of callers that leave large bodies unfinished

The stand-in for backend servers accepts bodies of 8 MiB, and tests can set the memory of a gateway and the limit on bodies.

--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -29,7 +29,7 @@
 constexpr milliseconds kPollInterval{10};
 constexpr int kMaxPolls = 1500;
 constexpr int kStreamEvents = 4;
-constexpr std::size_t kMaxServerBodyBytes = 1UL << 20U;
+constexpr std::size_t kMaxServerBodyBytes = 8UL << 20U;
 constexpr std::string_view kEngineService = "model";
 
 /// \return A loopback address that depends on the process id, so that tests can run in parallel.
@@ -309,7 +309,7 @@
              {{"name", "desk"}}}},
            {"limits",
             {{"max_header_bytes", 4000},
-             {"max_body_bytes", 10000},
+             {"max_body_bytes", options.max_body_bytes},
              {"idle_timeout_ms", options.idle_timeout.count()}}},
            {"tenants", {{{"name", "erie"}, {"api_keys", {"key1"}}}}}}
           .dump());
@@ -483,7 +483,7 @@
       {"listen", {{"front", CallerAddress(number)}, {"ready", ReadinessAddress(number)}}},
       {"port_range", {kPeerPort, kPeerPort + 10}},
       {"seeds", {absl::StrCat(IpOf(1), ":1"), absl::StrCat(IpOf(2), ":1")}},
-      {"limits", {{"ram_mb", 110}, {"cpu_share", 1}, {"max_fds", max_descriptors_}}},
+      {"limits", {{"ram_mb", memory_megabytes_}, {"cpu_share", 1}, {"max_fds", max_descriptors_}}},
       {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 54}}},
       {"platform", {{"addr", store_address_}}}};
   const auto path = directory_ / absl::StrCat("node-", number, ".json");
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -87,11 +87,13 @@
   std::chrono::milliseconds idle_timeout{15000};
   /// Timeout of each route.
   std::chrono::milliseconds route_timeout{4000};
+  /// Limit on the size of callers' request bodies.
+  std::size_t max_body_bytes = 10000;
 };
 
 /// Stand-ins for the platform's store and backend servers, and gateways as processes, each on its
 /// own loopback address. Thread safe, except for StartGateway(), SetStoreAddress(),
-/// SetMaxDescriptors() and KeepFiles().
+/// SetMaxDescriptors(), SetMemory() and KeepFiles().
 class PlatformWorld {
  public:
   PlatformWorld();
@@ -138,6 +140,8 @@
   void SetStoreAddress(const std::string& address) { store_address_ = address; }
   /// Sets the descriptor limit in the settings of gateways started afterwards.
   void SetMaxDescriptors(int descriptors) { max_descriptors_ = descriptors; }
+  /// Sets the memory in the settings of gateways started afterwards.
+  void SetMemory(int megabytes) { memory_megabytes_ = megabytes; }
   /// Makes the store refuse all calls, or accept them again.
   void SetStoreDown(bool down);
   /// Makes reads of the newest records of the topic wait, until called with another one.
@@ -237,6 +241,7 @@
   std::string held_topic_;
   std::string store_address_;
   int max_descriptors_ = 4096;
+  int memory_megabytes_ = 110;
   std::chrono::milliseconds processing_time_{0};
   /// Overrides `processing_time_` if set.
   std::function<std::chrono::milliseconds(const http::Request&)> processing_times_;
