Bound the memory of all callers' requests and the connections they hold

Bodies were read into strings without a common limit and copied for each attempt, and a connection inside a request was never closed for another. RequestMemory now counts the body and read buffer of each request from the end of its head until it is served, a fifth of the memory in total and a twentieth more for small requests; beyond it an unfinished one gets 503 with Retry-After, as it was not forwarded. A body is written from where it is held instead of from a copy. The connection to a backend server is closed after a response that came before the request was written, which ends the write.

A backend server's status outside 100 to 599 is a malformed response. An unframed response that ends before the request was written is interrupted: the write takes the error of the reset, after which the read sees an end in order.

--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <utility>
 
 namespace lagoonwind::gateway {
 namespace {
@@ -25,6 +26,9 @@
 constexpr std::size_t kReadBufferBytes = 16UL << 10U;
 /// Largest body of a response to another request that is read so that the connection can be used.
 constexpr std::size_t kMaxDiscardedBytes = 256UL << 10U;
+/// Statuses that HTTP defines, by class.
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 
 absl::Status ToStatus(const ErrorCode& error) {
   const bool malformed =
@@ -35,14 +39,18 @@
 
 }  // namespace
 
-void BackendCall::StartWrite(std::string request) {
-  connection_->request = std::move(request);
+void BackendCall::StartWrite(std::string head, std::shared_ptr<const std::string> body) {
+  connection_->request_head = std::move(head);
+  connection_->request_body = std::move(body);
   connection_->written = false;
-  asio::async_write(connection_->socket, asio::buffer(connection_->request),
+  const std::array buffers{asio::buffer(std::as_const(connection_->request_head)),
+                           asio::buffer(*connection_->request_body)};
+  asio::async_write(connection_->socket, buffers,
                     [connection = connection_](const ErrorCode& error, std::size_t /*bytes*/) {
                       // A write error also surfaces when the response is read, so it is not
                       // reported here.
                       connection->written = !error;
+                      connection->request_body.reset();
                     });
 }
 
@@ -63,6 +71,10 @@
       co_return held;
     }
   }
+  const unsigned status = head().result_int();
+  if (status < kMinStatus || status > kMaxStatus) {
+    co_return absl::DataLossError(absl::StrCat("the status ", status, " is out of range"));
+  }
   response_info_ = codec_.DecodeResponse(head());
   co_return absl::OkStatus();
 }
@@ -145,6 +157,11 @@
       co_return count;
     }
   }
+  if (parser_->need_eof() && !connection_->written) {
+    // A backend server that ends the connection with unread input resets it. The write may take
+    // the error, after which the read sees an end in order.
+    co_return absl::AbortedError("the connection ended before the request was written");
+  }
   co_return std::size_t{0};
 }
 
--- a/packages/gateway/src/backend_call.h
+++ b/packages/gateway/src/backend_call.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -29,7 +30,8 @@
         may_hold_(std::move(may_hold)) {}
 
   /// Starts writing the request. The response may arrive before the write completes.
-  void StartWrite(std::string request);
+  /// \param body  Not null; shared until it is written.
+  void StartWrite(std::string head, std::shared_ptr<const std::string> body);
   /// Reads the response head. Responses to other requests that arrive before it are discarded.
   /// \return Aborted if the connection broke; DataLoss if the response is malformed or not for this
   /// request; ResourceExhausted if the call holds too many bytes.
--- a/packages/gateway/src/backend_pool.h
+++ b/packages/gateway/src/backend_pool.h
@@ -25,7 +25,8 @@
   asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   /// Request being written; must not change until `written` is true.
-  std::string request;
+  std::string request_head;
+  std::shared_ptr<const std::string> request_body;
   bool written = true;
   /// True if the connection carried an earlier request.
   bool reused = false;
--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -31,8 +31,6 @@
 /// Retry-After for refusals by this gateway alone, which do not depend on the load of backend
 /// servers: another gateway may accept the request at once.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
-/// Fraction of the process memory that buffered request bodies may occupy.
-constexpr double kBodyMemoryFraction = 0.25;
 
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnauthorized = 401;
@@ -56,7 +54,10 @@
   sessions_->insert(this);
 }
 
-CallerSession::~CallerSession() { sessions_->erase(this); }
+CallerSession::~CallerSession() {
+  // The context may be gone: some sessions are only destroyed with the I/O context.
+  sessions_->erase(this);
+}
 
 void CallerSession::SetReadTimeout(Duration timeout) {
   timed_out_ = false;
@@ -88,6 +89,23 @@
   }
 }
 
+void CallerSession::RefuseUpload() {
+  refused_upload_ = true;
+  ErrorCode ignored;
+  socket_.cancel(ignored);
+}
+
+void CallerSession::CloseStalled() {
+  // The read ends with an error, after which the connection is no longer used.
+  ErrorCode ignored;
+  socket_.close(ignored);
+}
+
+std::optional<Time> CallerSession::last_progress() const {
+  return state_ == State::kReading && socket_.is_open() ? std::optional(last_progress_)
+                                                        : std::nullopt;
+}
+
 bool CallerSession::owes_answer() const {
   const auto exchange = exchange_.lock();
   return state_ == State::kReading ||
@@ -127,7 +145,9 @@
 }
 
 asio::awaitable<CallerSession::ReadResult> CallerSession::RejectUnreadable(ErrorCode error) {
-  if (timed_out_) {
+  if (refused_upload_) {
+    co_await Reject(kUnavailable, "too many bodies are held", "");
+  } else if (timed_out_) {
     co_await Reject(kRequestTimeout, "the request took too long to arrive", "");
   } else if (error == http::error::header_limit) {
     co_await Reject(kHeadTooLarge, "the head is too large", "");
@@ -143,6 +163,57 @@
   co_return ReadResult::kRejected;
 }
 
+void CallerSession::HoldRequest(const Parser& parser) {
+  policy::RequestMemory& memory = context_.request_memory;
+  last_progress_ = Now();
+  memory.Update(*upload_, parser.get().body().capacity() + buffer_.capacity(), last_progress_);
+  while (const auto excess = memory.Excess(last_progress_)) {
+    CallerSession* const session = context_.uploads.at(*excess);
+    context_.log.Write(Severity::kFailure, "request_over_memory",
+                       {{"held", memory.bytes()},
+                        {"limit", memory.limit_bytes()},
+                        {"idle_ms", Milliseconds(last_progress_ - session->last_progress_)},
+                        {"requests", context_.uploads.size()}});
+    ++context_.refused_uploads;
+    session->ReleaseRequest();
+    session->RefuseUpload();
+  }
+}
+
+void CallerSession::ReleaseRequest() {
+  if (upload_) {
+    context_.uploads.erase(*upload_);
+    context_.request_memory.Remove(*upload_);
+    upload_.reset();
+  }
+}
+
+asio::awaitable<ErrorCode> CallerSession::ReadBody(Parser& parser) {
+  upload_ = context_.request_memory.Add(Now());
+  context_.uploads[*upload_] = this;
+  parser.eager(true);
+  HoldRequest(parser);
+  ErrorCode error;
+  while (!error && !refused_upload_ && !parser.is_done()) {
+    co_await http::async_read_some(socket_, buffer_, parser,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !refused_upload_) {
+      HoldRequest(parser);
+    }
+  }
+  if (refused_upload_) {
+    error = asio::error::operation_aborted;
+  }
+  if (error) {
+    ReleaseRequest();
+    // The connection may be open for a while until the caller has received the refusal.
+    std::string().swap(parser.get().body());
+  } else {
+    context_.request_memory.Complete(*upload_);
+  }
+  co_return error;
+}
+
 asio::awaitable<CallerSession::ReadResult> CallerSession::ReadRequest(Parser& parser) {
   const auto configuration = context_.fleet.configuration();
   const CallerLimits limits = configuration == nullptr ? CallerLimits{} : configuration->limits;
@@ -150,16 +221,20 @@
   buffer_.max_size(limits.max_header_bytes + kBufferMargin);
   parser.body_limit(limits.max_body_bytes);
   SetReadTimeout(limits.header_timeout);
+  last_progress_ = Now();
+  refused_upload_ = false;
   ErrorCode error;
   co_await http::async_read_header(socket_, buffer_, parser,
                                    asio::redirect_error(asio::use_awaitable, error));
   if (!error) {
     SetReadTimeout(kBodyTimeout);
-    co_await http::async_read(socket_, buffer_, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    error = co_await ReadBody(parser);
   }
   timer_.cancel();
-  if (error == asio::error::operation_aborted && !timed_out_) {
+  if (!socket_.is_open()) {
+    co_return ReadResult::kClosed;
+  }
+  if (error == asio::error::operation_aborted && !timed_out_ && !refused_upload_) {
     LogCutByStop();
     co_return ReadResult::kClosed;
   }
@@ -237,13 +312,8 @@
     }
     customer = found->second;
   }
-  const auto max_buffered =
-      static_cast<double>(context_.settings.memory_bytes) * kBodyMemoryFraction;
-  if (static_cast<double>(context_.buffered_body_bytes + message.body().size()) > max_buffered) {
-    co_return co_await Reject(kUnavailable, "too many bodies are held", id);
-  }
   AcceptedRequest accepted{.head = message.base(),
-                           .body = std::move(message.body()),
+                           .body = std::make_shared<const std::string>(std::move(message.body())),
                            .request = *std::move(request),
                            .route = std::move(route),
                            .customer = std::move(customer),
@@ -275,7 +345,12 @@
 }
 
 asio::awaitable<void> CallerSession::Run(std::shared_ptr<CallerSession> session) {
-  co_await session->ServeRequests();
+  try {
+    co_await session->ServeRequests();
+  } catch (...) {
+    session->ReleaseRequest();
+    throw;
+  }
 }
 
 asio::awaitable<void> CallerSession::ServeRequests() {
@@ -303,6 +378,7 @@
     }
     writer_.ResetForNextResponse();
     const bool complete = co_await ServeRequest(parser);
+    ReleaseRequest();
     if (complete && writer_.close_after_response()) {
       co_await LingeringClose();
     }
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -35,6 +35,12 @@
   /// Logs that the process stops before it has answered a request that was read at least in part,
   /// if this is so.
   void LogCutByStop();
+  /// Ends the read of a request that is not whole, because all requests take too much memory.
+  void RefuseUpload();
+  /// Closes the connection inside a request that is being read, to make room for another.
+  void CloseStalled();
+  /// When the last bytes of a request that is not whole arrived; absent if none is being read.
+  [[nodiscard]] std::optional<Time> last_progress() const;
   /// Since when the connection has waited for a request; absent while one is in progress.
   [[nodiscard]] std::optional<Time> idle_since() const { return idle_since_; }
 
@@ -50,6 +56,12 @@
   asio::awaitable<void> ServeRequests();
   asio::awaitable<bool> WaitForRequest();
   asio::awaitable<ReadResult> ReadRequest(Parser& parser);
+  /// Reads the rest of a request. Fails if it is refused meanwhile.
+  asio::awaitable<boost::system::error_code> ReadBody(Parser& parser);
+  /// Records the memory of the request that is being read, and refuses requests that are too much.
+  void HoldRequest(const Parser& parser);
+  /// Ends the record of the request's memory.
+  void ReleaseRequest();
   asio::awaitable<ReadResult> RejectUnreadable(boost::system::error_code error);
   asio::awaitable<bool> ServeRequest(Parser& parser);
   asio::awaitable<bool> Reject(unsigned status, std::string_view reason,
@@ -71,6 +83,10 @@
   /// The request that is being served, if any.
   std::weak_ptr<Exchange> exchange_;
   std::optional<Time> idle_since_;
+  Time last_progress_{};
+  std::optional<policy::UploadNumber> upload_;
+  /// True if the request that is being read is refused because of the memory.
+  bool refused_upload_ = false;
   bool timed_out_ = false;
 };
 
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -69,7 +69,7 @@
     }
   }
   digest_ = HandleOf<Digest>(absl::StrCat(accepted_.request.target, "\n", accepted_.customer, "\n",
-                                          StableHash(accepted_.body)));
+                                          StableHash(*accepted_.body)));
   if (accepted_.request.prompt) {
     shared_segments_ = policy::SharedSegments(*accepted_.request.prompt);
   }
@@ -194,7 +194,6 @@
 }
 
 asio::awaitable<bool> Exchange::Run() {
-  context_.buffered_body_bytes += accepted_.body.size();
   const bool complete = co_await Serve();
   watchdog_.cancel();
   if (unresolved_attempts_ == 0) {
@@ -203,7 +202,6 @@
       context_.suspects.AbandonTrial(digest_, Now());
     }
   }
-  context_.buffered_body_bytes -= accepted_.body.size();
   ReleaseResponse();
   co_return complete;
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -18,7 +18,8 @@
 /// A completely read request that passed authentication and admission.
 struct AcceptedRequest {
   RequestHead head;
-  std::string body;
+  /// Shared with connections that still write it. Not null.
+  std::shared_ptr<const std::string> body;
   CallerRequest request;
   std::shared_ptr<const Route> route;
   std::string customer;
@@ -137,7 +138,7 @@
                                           std::optional<Duration> retry_after);
   asio::awaitable<bool> Finish(AttemptResult result);
 
-  [[nodiscard]] std::string SerializeRequest(const BackendServer& server) const;
+  [[nodiscard]] std::string SerializeHead(const BackendServer& server) const;
   [[nodiscard]] Duration TimeLeft(Time now) const;
   /// True if the attempt continues a stream of which the caller has received a part.
   [[nodiscard]] bool IsResumed() const {
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -30,6 +30,8 @@
 /// Largest event of a stream that is buffered until it is complete.
 constexpr std::size_t kMaxEventBytes = 256UL << 10U;
 
+using ErrorCode = boost::system::error_code;
+
 std::string_view ToStdView(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 /// True unless the response states another media type.
@@ -42,7 +44,7 @@
 
 }  // namespace
 
-std::string Exchange::SerializeRequest(const BackendServer& server) const {
+std::string Exchange::SerializeHead(const BackendServer& server) const {
   const ForwardOptions options{
       .customer = accepted_.customer,
       .expected_server = server.name,
@@ -51,18 +53,17 @@
   const RequestHead head = context_.headers.EncodeForward(accepted_.head, options);
   std::string text = absl::StrCat(std::string(ToStdView(head.method_string())), " ",
                                   std::string(ToStdView(head.target())), " HTTP/1.1\r\n");
-  text.reserve(text.size() + accepted_.body.size() + 1024);
   for (const auto& field : head) {
     text.append(ToStdView(field.name_string()))
         .append(": ")
         .append(ToStdView(field.value()))
         .append("\r\n");
   }
-  const bool has_body = !accepted_.body.empty() || ToStdView(head.method_string()) != "GET";
+  const bool has_body = !accepted_.body->empty() || ToStdView(head.method_string()) != "GET";
   if (has_body) {
-    absl::StrAppend(&text, "Content-Length: ", accepted_.body.size(), "\r\n");
+    absl::StrAppend(&text, "Content-Length: ", accepted_.body->size(), "\r\n");
   }
-  text.append("\r\n").append(accepted_.body);
+  text.append("\r\n");
   return text;
 }
 
@@ -142,7 +143,7 @@
   ended_in_order_ = false;
   last_framing_ = BodyFraming::Kind::kNone;
   ++unresolved_attempts_;
-  call.StartWrite(SerializeRequest(server));
+  call.StartWrite(SerializeHead(server), accepted_.body);
   if (attempts_ == 1 && accepted_.request.prompt) {
     context_.share.RecordAdmitted(HandleOf<CustomerId>(accepted_.customer),
                                   accepted_.request.prompt->input_tokens, sent_at_);
@@ -157,6 +158,10 @@
   if (call.reusable() && abort_reason_ == AbortReason::kNone) {
     context_.pool.Release(server.id, call.connection(), call.response_info().keep_alive,
                           context_.MaxIdleConnections(service_));
+  } else {
+    // Ends a write of the request that the backend server doesn't read, which would keep the body.
+    ErrorCode ignored;
+    call.connection()->socket.close(ignored);
   }
   co_return result;
 }
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -198,7 +198,13 @@
     metrics.Set("lagoonwind_gateway_running_requests", "Requests that are being served",
                 static_cast<double>(context_.exchanges->size()));
     metrics.Set("lagoonwind_gateway_held_body_bytes", "Bytes of request bodies that are held",
-                static_cast<double>(context_.buffered_body_bytes));
+                static_cast<double>(context_.request_memory.bytes()));
+    metrics.Set("lagoonwind_gateway_refused_uploads_total",
+                "Requests refused as all bodies would have taken too much memory",
+                static_cast<double>(context_.refused_uploads));
+    metrics.Set("lagoonwind_gateway_closed_stalled_connections_total",
+                "Connections closed inside a request to make room for others",
+                static_cast<double>(context_.closed_stalled_connections));
     metrics.Set("lagoonwind_gateway_held_response_bytes",
                 "Bytes of responses that are not passed on yet",
                 static_cast<double>(context_.response_memory.bytes()));
@@ -267,8 +273,8 @@
     return error;
   }
 
-  /// Closes the connection that has been idle longest if there is no room for another.
-  /// \return False if there is no room.
+  /// Closes the connection that has been idle longest if there is no room for another, otherwise
+  /// the one whose request has made no progress for longest. \return False if there is no room.
   bool MakeRoomForSession() {
     if (context_.sessions->size() < max_sessions_) {
       return true;
@@ -280,7 +286,30 @@
         longest_idle = session;
       }
     }
-    return longest_idle != nullptr && longest_idle->CloseIfIdle();
+    return (longest_idle != nullptr && longest_idle->CloseIfIdle()) || CloseStalledSession(Now());
+  }
+
+  /// Closes the connection whose request has made no progress for longest.
+  /// \return False if all make progress.
+  bool CloseStalledSession(Time now) {
+    CallerSession* stalled = nullptr;
+    Time last_progress = now - policy::RequestMemory::kStallTime;
+    for (CallerSession* session : *context_.sessions) {
+      if (const auto progress = session->last_progress(); progress && *progress < last_progress) {
+        stalled = session;
+        last_progress = *progress;
+      }
+    }
+    if (stalled == nullptr) {
+      return false;
+    }
+    ++context_.closed_stalled_connections;
+    context_.log.Write(Severity::kFailure, "stalled_connection_closed",
+                       {{"idle_ms", Milliseconds(now - last_progress)},
+                        {"sessions", context_.sessions->size()},
+                        {"limit", max_sessions_}});
+    stalled->CloseStalled();
+    return true;
   }
 
   asio::awaitable<void> RunHousekeeping() {
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -32,12 +32,15 @@
 constexpr std::size_t kMaxListedRequests = 64;
 /// Fraction of the process memory that responses may occupy until they are passed on.
 constexpr double kResponseMemoryFraction = 0.2;
+/// Fraction of the process memory that requests' bodies may occupy.
+constexpr double kRequestMemoryFraction = 0.2;
+/// Further fraction that only small requests may occupy, so that large ones don't displace them.
+constexpr double kSmallRequestMemoryFraction = 0.05;
 /// Number of reports between cleanups of the load reported by peers that went silent.
 constexpr std::uint64_t kReportsPerPeerCleanup = 10;
 
-std::uint64_t ResponseMemoryLimit(const Settings& settings) {
-  return static_cast<std::uint64_t>(static_cast<double>(settings.memory_bytes) *
-                                    kResponseMemoryFraction);
+std::uint64_t MemoryFraction(const Settings& settings, double fraction) {
+  return static_cast<std::uint64_t>(static_cast<double>(settings.memory_bytes) * fraction);
 }
 
 std::uint64_t RandomSeed() {
@@ -81,7 +84,9 @@
            .is_writer =
                [this](std::uint64_t key) { return peers.IsOwner(key, kQuarantineWriters); },
            .fleet_size = [this] { return peers.fleet_size(); }}),
-      response_memory(ResponseMemoryLimit(own_settings)),
+      request_memory(MemoryFraction(own_settings, kRequestMemoryFraction),
+                     MemoryFraction(own_settings, kSmallRequestMemoryFraction)),
+      response_memory(MemoryFraction(own_settings, kResponseMemoryFraction)),
       started(Now()) {
   fleet.SetServerRemovedCallback([this](const BackendServer& server) { ClearServerState(server); });
 }
--- a/packages/gateway/src/gateway_context.h
+++ b/packages/gateway/src/gateway_context.h
@@ -18,6 +18,7 @@
 #include "lagoonwind/dispatch.h"
 #include "lagoonwind/drain_admission.h"
 #include "lagoonwind/gateway.h"
+#include "lagoonwind/request_memory.h"
 #include "lagoonwind/response_memory.h"
 #include "loop_monitor.h"
 #include "peers.h"
@@ -74,8 +75,13 @@
   /// Number of requests from this gateway that are outstanding at each backend server.
   absl::flat_hash_map<ServerId, int> outstanding;
   absl::flat_hash_map<std::string, policy::FleetRetryBudget> budgets;
-  /// Total size of the buffered request bodies.
-  std::uint64_t buffered_body_bytes = 0;
+  policy::RequestMemory request_memory;
+  /// Callers' connections whose requests occupy memory, by the number of the request.
+  absl::flat_hash_map<policy::UploadNumber, CallerSession*> uploads;
+  /// Requests that were refused as all bodies together would have taken too much memory.
+  std::uint64_t refused_uploads = 0;
+  /// Connections that were closed inside a request to make room for others.
+  std::uint64_t closed_stalled_connections = 0;
   policy::ResponseMemory response_memory;
   /// Requests whose responses are being received, by the number of the response.
   absl::flat_hash_map<policy::ResponseNumber, Exchange*> receiving;
