--- a/packages/gateway/src/caller_session.cc
+++ b/packages/gateway/src/caller_session.cc
@@ -385,6 +385,7 @@
     open = complete && !writer_.close_after_response();
     state_ = State::kWaiting;
   }
+  ReleaseRequest();
   state_ = State::kClosing;
   ErrorCode ignored;
   socket_.close(ignored);
--- a/tests/end_to_end/uncontrolled_clients_test.cc
+++ b/tests/end_to_end/uncontrolled_clients_test.cc
@@ -197,7 +197,7 @@
       client.Send(piece);
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
-    client.Send(std::string_view(piece).substr(ShortBy(index)));
+    client.Send(piece.substr(ShortBy(index)));
   });
 }
 
