Pace backend servers after start and recovery by their responses

Cause: a server that has just started, recovered or come back with its zone is the least loaded one, so that all gateways choose it at once.

Change: policy::ServerPace gives each such server a fraction of an even portion of the work and of its concurrency limit, which follows from its time to first byte and failures compared with the other servers of the service in the same seconds. Dispatcher prefers servers within their pace and falls back to the others if no other server has room.

--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -182,6 +182,13 @@
 policy::DispatchDecision Exchange::Decide(Time now) {
   const std::vector<policy::Candidate> candidates = Candidates(now);
   const std::vector<int> outstanding = OutstandingRequests(candidates);
+  if (!context_.pace.IsIdle()) {
+    context_.pace.SetGateways(std::max(context_.peers.fleet_size(), 1));
+    // Retries are no part of the even portion.
+    for (std::size_t i = 0; attempts_ == 0 && i < candidates.size(); ++i) {
+      context_.pace.RecordRequest(candidates[i].server, candidates.size(), now);
+    }
+  }
   const auto& prompt = accepted_.request.prompt;
   const policy::DispatchRequest request{
       .customer = HandleOf<CustomerId>(accepted_.customer),
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -156,7 +156,7 @@
   bool HoldResponse(std::size_t bytes);
   /// Records that nothing of the response is held any more.
   void ReleaseResponse();
-  void RecordFirstByte(const BackendServer& server);
+  void RecordFirstByte(const BackendServer& server, bool failed);
   /// Ends the caller's response after the last event, unless that would state more than is known.
   /// \param bytes  Length of the body that the backend server sent.
   asio::awaitable<AttemptResult> EndStream(BackendCall& call, const BackendServer& server,
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -87,6 +87,7 @@
     load_request_number_ = context_.load.RecordSent(server_id, *prompt, Now());
   }
   context_.cold_start_limiter.RecordSent(server_id, Now());
+  context_.pace.RecordSent(server_id);
   BackendPool::Connection connection = context_.pool.Acquire(server_id);
   AttemptResult result = AttemptResult::kNotSent;
   if (connection == nullptr) {
@@ -94,7 +95,7 @@
     if (opened.ok()) {
       connection = *std::move(opened);
     } else {
-      context_.health.RecordFailure(server_id, Now());
+      context_.RecordServerFailure(server, Now());
       if (absl::IsUnavailable(opened.status())) {
         context_.crash_detector.OnConnectionRefused(server_id, Now());
         context_.fleet.AssumeRestarted(server_id, Now());
@@ -184,7 +185,7 @@
                         {"body_whole", body.ok()},
                         {"running", decision_.estimate.running}});
     if (info.wrong_server) {
-      context_.health.RecordFailure(server.id, Now());
+      context_.RecordServerFailure(server, Now());
     }
     co_return AttemptResult::kNotExecuted;
   }
@@ -220,7 +221,7 @@
   }
   if (connection_broke || abort_reason_ == AbortReason::kStalled ||
       abort_reason_ == AbortReason::kMemory) {
-    context_.health.RecordFailure(server.id, now);
+    context_.RecordServerFailure(server, now);
   }
   if (abort_reason_ != AbortReason::kCallerDisconnected) {
     context_.log.Write(
@@ -293,15 +294,17 @@
   context_.segments.RecordResponse(shared_segments_, Now());
 }
 
-void Exchange::RecordFirstByte(const BackendServer& server) {
+void Exchange::RecordFirstByte(const BackendServer& server, bool failed) {
   if (response_begun_) {
     return;
   }
   response_begun_ = true;
   const Time now = Now();
+  const Duration expected = decision_.estimate.queueing_delay + decision_.estimate.prefill_time;
+  context_.RecordPace(server,
+                      {.expected = expected, .first_byte = now - sent_at_, .failed = failed}, now);
   if (accepted_.request.prompt) {
     context_.load.RecordFirstByte(server.id, load_request_number_, now);
-    const Duration expected = decision_.estimate.queueing_delay + decision_.estimate.prefill_time;
     context_.metrics.ObserveStartError(Milliseconds(expected) / 1000,
                                        Milliseconds(now - sent_at_) / 1000);
   }
@@ -354,7 +357,7 @@
       }
       complete_events = std::string(events_.remainder());
     } else {
-      RecordFirstByte(server);
+      RecordFirstByte(server, false);
       complete_events = events_.Append({chunk->data(), *count});
       if (events_.remainder().size() > kMaxEventBytes) {
         const AttemptResult result =
@@ -428,12 +431,12 @@
   if (!body.ok() || abort_reason_ == AbortReason::kMemory) {
     co_return ResponseInterrupted(body.status(), server);
   }
-  RecordFirstByte(server);
+  const unsigned status = call.head().result_int();
+  const bool failed = status / 100 == 5 || StatusImpliesNotExecuted(status);
+  RecordFirstByte(server, failed);
   context_.response_memory.Update(response_number_, body->capacity());
   context_.response_memory.Complete(response_number_);
   context_.receiving.erase(response_number_);
-  const unsigned status = call.head().result_int();
-  const bool failed = status / 100 == 5 || StatusImpliesNotExecuted(status);
   const BodyFraming framing = call.framing();
   const bool unframed = framing.kind == BodyFraming::Kind::kUntilClose;
   if (unframed) {
@@ -446,7 +449,7 @@
   }
   // The head shows a failure; that a response without framing succeeded can't be told.
   if (failed || !unframed) {
-    context_.health.RecordResponse(server.id, failed, Now());
+    context_.RecordServerResponse(server, failed, Now());
   }
   if (stream_begun_) {
     context_.log.Write(Severity::kFailure, "not_resumed",
--- a/packages/gateway/src/fleet_servers.cc
+++ b/packages/gateway/src/fleet_servers.cc
@@ -64,6 +64,10 @@
   if (decoded->cold_left > milliseconds(0)) {
     current.cold_until = now + decoded->cold_left;
   }
+  // The first complete page lists servers that ran before this gateway started.
+  if (inserted && (is_change || complete_pages_ > 1)) {
+    NotifyStarted(current.server, "new", now);
+  }
   if (changed) {
     log_.Write(Severity::kState, "server_known",
                {{"server", decoded->name},
@@ -194,6 +198,7 @@
   for (auto& [key, known] : servers_) {
     if (known.server.id == server) {
       known.cold_until = std::max(known.cold_until, now + kDefaultColdTime);
+      NotifyStarted(known.server, "connection refused", now);
     }
   }
 }
--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -328,6 +328,7 @@
     for (auto& [key, known] : servers_) {
       if (known.server.zone == zone) {
         known.cold_until = std::max(known.cold_until, now + kDefaultColdTime);
+        NotifyStarted(known.server, "zone taken back", now);
       }
     }
   } else {
--- a/packages/gateway/src/fleet_state.h
+++ b/packages/gateway/src/fleet_state.h
@@ -41,12 +41,19 @@
   /// Called when a backend server was removed or has restarted.
   using ServerRemovedCallback = std::function<void(const BackendServer&)>;
 
+  /// Called when a backend server is new, has restarted, or may have been idle or down.
+  using ServerStartedCallback =
+      std::function<void(const BackendServer&, std::string_view reason, Time now)>;
+
   /// \param codec, log  Must outlive this object.
   FleetState(const RecordCodec& codec, EventLog& log) : codec_(codec), log_(log) {}
 
   void SetServerRemovedCallback(ServerRemovedCallback callback) {
     on_server_removed_ = std::move(callback);
   }
+  void SetServerStartedCallback(ServerStartedCallback callback) {
+    on_server_started_ = std::move(callback);
+  }
 
   /// Applies records. All records of a new generation are older evidence than what is known: the
   /// newest configuration and records of servers stay, and so do evacuations, until a record of the
@@ -156,6 +163,11 @@
   /// Uses the servers of the service that seem to run, if there is no other.
   void EndDoubtsOfService(const std::string& service, Time now);
   void MarkMissing(const std::string& key, Time now);
+  void NotifyStarted(const BackendServer& server, std::string_view reason, Time now) const {
+    if (on_server_started_) {
+      on_server_started_(server, reason, now);
+    }
+  }
   /// \param stated  True if the store deleted the record while it was stable.
   void RemoveServer(const std::string& key, std::string_view reason, bool stated, Time now);
   /// Builds the indexes of backend servers unless they are up to date.
@@ -171,6 +183,7 @@
   const RecordCodec& codec_;
   EventLog& log_;
   ServerRemovedCallback on_server_removed_;
+  ServerStartedCallback on_server_started_;
   /// A record that names a backend server which was removed, and that may be older than its
   /// removal.
   struct DoubtfulRecord {
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -214,6 +214,9 @@
     metrics.Set("lagoonwind_gateway_reading_rate_tokens_per_second",
                 "Prompt tokens that an engine is believed to read in a second",
                 context_.load.prefill_rate());
+    metrics.Set("lagoonwind_gateway_paced_servers",
+                "Backend servers that get less than an even portion of the work",
+                static_cast<double>(context_.pace.paced_count()));
     metrics.Set("lagoonwind_gateway_log_lines_dropped_total", "Log lines that were dropped",
                 static_cast<double>(context_.log.dropped()));
     for (auto& [service, budget] : context_.budgets) {
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -35,6 +35,9 @@
 /// Number of reports between cleanups of the load reported by peers that went silent.
 constexpr std::uint64_t kReportsPerPeerCleanup = 10;
 
+/// Time after the start in which this gateway learns which backend servers run.
+constexpr Duration kStartupTime = std::chrono::milliseconds(2500);
+
 std::uint64_t ResponseMemoryLimit(const Settings& settings) {
   return static_cast<std::uint64_t>(static_cast<double>(settings.memory_bytes) *
                                     kResponseMemoryFraction);
@@ -60,8 +63,9 @@
       monitor(own_io, log),
       load(policy::EngineLoadOptions{}),
       share(std::chrono::duration_cast<Duration>(own_settings.share_window)),
+      pace(random()),
       crash_detector(suspects, segments, log),
-      dispatcher(load, share, health, cold_start_limiter),
+      dispatcher(load, share, health, cold_start_limiter, &pace),
       peers(own_io,
             {.settings = own_settings,
              .incarnation = Incarnation{random() | 1U},
@@ -84,6 +88,8 @@
       response_memory(ResponseMemoryLimit(own_settings)),
       started(Now()) {
   fleet.SetServerRemovedCallback([this](const BackendServer& server) { ClearServerState(server); });
+  fleet.SetServerStartedCallback([this](const BackendServer& server, std::string_view reason,
+                                        Time now) { BeginSlowStart(server, reason, now); });
 }
 
 absl::Status GatewayContext::Start() { return peers.Start(); }
@@ -247,6 +253,58 @@
   pool.CloseIdle(server.id);
   load.Remove(server.id);
   health.Remove(server.id);
+  pace.Remove(server.id);
+}
+
+void GatewayContext::RecordServerFailure(const BackendServer& server, Time now) {
+  health.RecordFailure(server.id, now);
+  RecordPace(server, {.failed = true}, now);
+  SlowStartIfEjected(server, now);
+}
+
+void GatewayContext::RecordServerResponse(const BackendServer& server, bool failed, Time now) {
+  health.RecordResponse(server.id, failed, now);
+  SlowStartIfEjected(server, now);
+}
+
+void GatewayContext::RecordPace(const BackendServer& server, const policy::PaceOutcome& outcome,
+                                Time now) {
+  if (const auto change = pace.RecordOutcome(server.service, server.id, outcome, now)) {
+    LogPace(server, *change, "responses");
+  }
+}
+
+void GatewayContext::BeginSlowStart(const BackendServer& server, std::string_view cause, Time now) {
+  if (now - started < kStartupTime) {
+    return;
+  }
+  if (const auto change = pace.Begin(server.id, now)) {
+    LogPace(server, *change, cause);
+  }
+}
+
+void GatewayContext::SlowStartIfEjected(const BackendServer& server, Time now) {
+  if (health.IsEjected(server.id, now)) {
+    BeginSlowStart(server, "ejected", now);
+  }
+}
+
+void GatewayContext::LogPace(const BackendServer& server, const policy::PaceChange& change,
+                             std::string_view cause) {
+  const bool is_step_up = change.fraction > change.previous && change.fraction < 1;
+  log.Write(is_step_up ? Severity::kRoutine : Severity::kState, "server_pace",
+            {{"server", server.name},
+             {"service", server.service},
+             {"reason", policy::Name(change.reason)},
+             {"cause", cause},
+             {"fraction", change.fraction},
+             {"previous", change.previous},
+             {"responses", change.responses},
+             {"slowdown", change.slowdown},
+             {"failure_ratio", change.failure_ratio},
+             {"peer_slowdown", change.peer_slowdown},
+             {"peer_failure_ratio", change.peer_failure_ratio},
+             {"peers", change.peers}});
 }
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/gateway_context.h
+++ b/packages/gateway/src/gateway_context.h
@@ -19,6 +19,7 @@
 #include "lagoonwind/drain_admission.h"
 #include "lagoonwind/gateway.h"
 #include "lagoonwind/response_memory.h"
+#include "lagoonwind/server_pace.h"
 #include "loop_monitor.h"
 #include "peers.h"
 #include "quarantine_records.h"
@@ -46,6 +47,12 @@
   /// Finds out whether the backend server has crashed, after a connection to it broke: its host
   /// then refuses connections.
   void ProbeAfterBreak(const BackendServer& server);
+  /// Records a refused or broken connection, a malformed response or a request without progress.
+  void RecordServerFailure(const BackendServer& server, Time now);
+  /// Records whether a complete response reports a failure of the backend server.
+  void RecordServerResponse(const BackendServer& server, bool failed, Time now);
+  /// Records the first byte of a response, or a failure, for the backend server's pace.
+  void RecordPace(const BackendServer& server, const policy::PaceOutcome& outcome, Time now);
   /// Uniformly distributed in [0, 1).
   double RandomFraction() { return std::uniform_real_distribution<double>(0, 1)(random); }
 
@@ -63,6 +70,7 @@
   policy::CustomerShare share;
   policy::ServerHealth health;
   policy::ColdStartLimiter cold_start_limiter;
+  policy::ServerPace pace;
   policy::CrashSuspects suspects;
   policy::SegmentQuarantine segments;
   CrashDetector crash_detector;
@@ -91,6 +99,13 @@
   void FillSuspectsReport(wire::GatewayReport& report, Time now) const;
   void ApplySuspectsReport(const wire::GatewayReport& report, Time now);
   void ClearServerState(const BackendServer& server);
+  /// Begins the slow start of a backend server, unless this gateway itself has just started and may
+  /// learn only now of servers that run for long.
+  void BeginSlowStart(const BackendServer& server, std::string_view cause, Time now);
+  /// Begins the slow start of a backend server that is ejected now.
+  void SlowStartIfEjected(const BackendServer& server, Time now);
+  void LogPace(const BackendServer& server, const policy::PaceChange& change,
+               std::string_view cause);
   asio::awaitable<void> Probe(BackendServer server);
   /// Draws conclusions about segments that crash engines.
   void UpdateQuarantine(Time now);
--- a/packages/policy/include/lagoonwind/dispatch.h
+++ b/packages/policy/include/lagoonwind/dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include "lagoonwind/attempt_limits.h"
 #include "lagoonwind/customer_share.h"
 #include "lagoonwind/engine_load.h"
+#include "lagoonwind/server_pace.h"
 
 /// \file
 /// Admission control and load balancing: whether a request is sent to a backend server, and to
@@ -113,10 +115,11 @@
 /// mixed with short ones. Not thread safe.
 class Dispatcher {
  public:
-  /// \param load, share, health, cold  Must outlive the dispatcher.
+  /// \param load, share, health, cold, pace  Must outlive the dispatcher. Without `pace`, all
+  ///     backend servers get an even portion of the work.
   Dispatcher(const EngineLoad& load, const CustomerShare& share, const ServerHealth& health,
-             const ColdStartLimiter& cold)
-      : load_(load), share_(share), health_(health), cold_(cold) {}
+             const ColdStartLimiter& cold, const ServerPace* pace = nullptr)
+      : load_(load), share_(share), health_(health), cold_(cold), pace_(pace) {}
 
   /// Chooses one of the candidates for the request, or refuses the request.
   /// \param outstanding  Requests of this gateway that run on each candidate; used for plain
@@ -159,6 +162,14 @@
     }
     return best;
   }
+  /// Replaces the cheapest option if its server is beyond its pace: by the cheapest one that is
+  /// within its own and can take the request, else by the cheapest relative to the servers'
+  /// fractions that can, so that no request is refused because of a server's pace.
+  [[nodiscard]] std::size_t ApplyPace(std::size_t best, std::span<const Option> options,
+                                      std::span<const Candidate> candidates,
+                                      std::span<const int> outstanding,
+                                      absl::FunctionRef<bool(std::size_t)> can_take,
+                                      Time now) const;
   /// Mean queueing delay over all options, in seconds.
   [[nodiscard]] static double MeanQueueingDelay(std::span<const Option> options);
   [[nodiscard]] DispatchVerdict Evaluate(const DispatchRequest& request, const Candidate& candidate,
@@ -168,6 +179,7 @@
   const CustomerShare& share_;
   const ServerHealth& health_;
   const ColdStartLimiter& cold_;
+  const ServerPace* pace_;
 };
 
 }  // namespace lagoonwind::policy
--- a/packages/policy/src/dispatch.cc
+++ b/packages/policy/src/dispatch.cc
@@ -263,6 +263,29 @@
   return no_capacity ? DispatchVerdict::kNoCapacity : DispatchVerdict::kSend;
 }
 
+std::size_t Dispatcher::ApplyPace(std::size_t best, std::span<const Option> options,
+                                  std::span<const Candidate> candidates,
+                                  std::span<const int> outstanding,
+                                  absl::FunctionRef<bool(std::size_t)> can_take, Time now) const {
+  const auto is_within_pace = [&](std::size_t i) {
+    return pace_->MayTake(candidates[i].server, outstanding[i], candidates[i].concurrency_limit,
+                          now);
+  };
+  if (is_within_pace(best)) {
+    return best;
+  }
+  const auto within_pace =
+      Cheapest(options, [&](std::size_t i) { return is_within_pace(i) && can_take(i); });
+  if (within_pace) {
+    return *within_pace;
+  }
+  std::vector<Option> weighted(options.begin(), options.end());
+  for (std::size_t i = 0; i < weighted.size(); ++i) {
+    weighted[i].cost /= pace_->Fraction(candidates[i].server, now);
+  }
+  return Cheapest(std::span<const Option>(weighted), can_take).value_or(best);
+}
+
 DispatchDecision Dispatcher::Decide(const DispatchRequest& request,
                                     std::span<const Candidate> candidates,
                                     std::span<const int> outstanding, std::uint64_t seed,
@@ -282,6 +305,15 @@
     return Evaluate(request, candidates[i], options[i].estimate, decision.usage);
   };
   auto best = Cheapest(options, is_eligible);
+  if (best && pace_ != nullptr && !pace_->IsIdle()) {
+    const auto can_take = [&](std::size_t i) {
+      // The verdict includes the concurrency limit of engines only.
+      return is_eligible(i) && verdict(i) == DispatchVerdict::kSend &&
+             (request.prompt != nullptr ||
+              pace_->HasRoom(outstanding[i], candidates[i].concurrency_limit));
+    };
+    best = ApplyPace(*best, options, candidates, outstanding, can_take, now);
+  }
   if (!best) {
     best = Cheapest(options, is_eligible_or_ejected);
   }
