--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -291,8 +291,13 @@
 
 void GatewayContext::LogPace(const BackendServer& server, const policy::PaceChange& change,
                              std::string_view cause) {
-  const bool is_step_up = change.fraction > change.previous && change.fraction < 1;
-  log.Write(is_step_up ? Severity::kRoutine : Severity::kState, "server_pace",
+  const bool is_step = change.reason != policy::PaceReason::kStarted && change.fraction < 1;
+  const bool is_step_up = change.fraction > change.previous;
+  // Steps down count as failures, whose rate in the log is limited.
+  const Severity severity = !is_step     ? Severity::kState
+                            : is_step_up ? Severity::kRoutine
+                                         : Severity::kFailure;
+  log.Write(severity, "server_pace",
             {{"server", server.name},
              {"service", server.service},
              {"reason", policy::Name(change.reason)},
