--- a/apps/lagoonwindd/main.cc
+++ b/apps/lagoonwindd/main.cc
@@ -26,8 +26,8 @@
 }
 
 /// Runs a gateway with the settings that the users' platform provides.
-int RunOnPlatform(bool check_only) {
-  const auto settings = lagoonwind::users_platform::LoadSettings();
+int RunOnPlatform(bool check_only, bool slow_start) {
+  auto settings = lagoonwind::users_platform::LoadSettings();
   if (!settings.ok()) {
     std::cerr << settings.status().message() << "\n";
     return kExitRefused;
@@ -36,6 +36,7 @@
     std::cout << "settings are valid\n";
     return 0;
   }
+  settings->slow_start = slow_start;
   const auto headers = lagoonwind::users_platform::MakeHeaderCodec();
   const auto records = lagoonwind::users_platform::MakeRecordCodec();
   const auto store = lagoonwind::users_platform::MakeRecordStore(settings->store_address);
@@ -51,7 +52,9 @@
   cxxopts::Options options("lagoonwindd", "A daemon of the lagoonwind router fleet.");
   options.add_options()("settings", "TOML settings file", cxxopts::value<std::string>())(
       "platform", "run a gateway with the settings of the users' platform", cxxopts::value<bool>())(
-      "check", "check the settings and exit", cxxopts::value<bool>())("help", "print this help");
+      "slow-start", "with --platform: pace backend servers that have started or recovered",
+      cxxopts::value<bool>())("check", "check the settings and exit", cxxopts::value<bool>())(
+      "help", "print this help");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
@@ -59,7 +62,7 @@
       return 0;
     }
     if (parsed["platform"].as<bool>()) {
-      return RunOnPlatform(parsed["check"].as<bool>());
+      return RunOnPlatform(parsed["check"].as<bool>(), parsed["slow-start"].as<bool>());
     }
     if (parsed.count("settings") == 0) {
       std::cerr << "--settings FILE is missing\n" << options.help();
--- a/packages/gateway/include/lagoonwind/gateway_types.h
+++ b/packages/gateway/include/lagoonwind/gateway_types.h
@@ -161,6 +161,8 @@
   milliseconds retry_window{10000};
   /// Window over which the customers' fair shares are computed.
   milliseconds share_window{4000};
+  /// True if backend servers that have started or recovered are paced by their responses.
+  bool slow_start = false;
 };
 
 }  // namespace lagoonwind::gateway
