Roll-outs: orders, versions, status records and conditional writes

The gateway knew neither the software version of a backend server nor the operators' order to move a service to another one.

Decodes both, the limits of roll-outs in the settings file, and status records. The record store writes conditionally: a 412 is FailedPrecondition with the end offset of the topic. The fleet state keeps orders by service, also those copied from peers, and identifies one by the content and offset of its record, so that an equal record written again is a new order. An order that a restored store lacks is held like an evacuation. A deployment without `canary_share` logs orders and ignores them.

Ruled out: the content alone as identity, as an operator may repeat an order after its conclusion.

--- a/packages/gateway/include/lagoonwind/gateway.h
+++ b/packages/gateway/include/lagoonwind/gateway.h
@@ -83,14 +83,16 @@
   [[nodiscard]] virtual std::string_view readiness_path() const = 0;
 };
 
-/// Kinds of records: configuration and zone evacuations, backend servers, gateways, quarantined
-/// prompt segments.
-enum class Topic { kOperator, kServers, kPeers, kQuarantine };
+/// Kinds of records: operators' configuration, evacuations and roll-out orders, backend servers,
+/// gateways, quarantined prompt segments, status of roll-outs.
+enum class Topic { kOperator, kServers, kPeers, kQuarantine, kStatus };
 
 /// Latest value of a record key; no value means that the key was deleted.
 struct Record {
   std::string key;
   std::optional<std::string> value;
+  /// Offset of the record in its topic; absent if it is unknown.
+  std::optional<std::int64_t> offset;
 };
 
 struct RecordPage {
@@ -119,6 +121,36 @@
                                                                milliseconds wait) = 0;
   /// Writes a record. After an error the record may or may not have been written.
   virtual asio::awaitable<absl::Status> Write(Topic topic, Record record) = 0;
+  /// Writes a record if the topic ends at `end`. After an error other than FailedPrecondition the
+  /// record may have been written, or may still be written while the topic ends there.
+  /// \return FailedPrecondition, with the end offset if it is known (see EndOffsetOf()), if the
+  /// topic does not end there.
+  virtual asio::awaitable<absl::Status> WriteAt(Topic topic, Record record, std::int64_t end);
+};
+
+/// Adds the end offset of a topic to the status of a conditional write. Thread safe.
+void SetEndOffset(absl::Status& status, std::int64_t end);
+
+/// End offset of the topic from the status of a conditional write; absent if it states none. Thread
+/// safe.
+std::optional<std::int64_t> EndOffsetOf(const absl::Status& status);
+
+/// Operator's order to move a service to the backend servers of another version.
+struct RolloutRequest {
+  std::string target;
+  milliseconds duration{0};
+};
+
+/// Status record of a roll-out.
+struct RolloutStatusRecord {
+  std::string service;
+  std::string target;
+  /// kTrial for a roll-out that is in progress, kComplete or kReverted.
+  policy::RolloutState state = policy::RolloutState::kTrial;
+  /// Identity of the order; 0 if the record states none.
+  std::uint64_t order_id = 0;
+  /// Why the state is what it is, for operators.
+  std::string reason;
 };
 
 /// Decoded operator record.
@@ -129,6 +161,10 @@
   std::string evacuated_zone;
   /// True if the record ends the evacuation of `evacuated_zone`.
   bool evacuation_ended = false;
+  /// Service whose roll-out order was written or deleted with this record; empty if none.
+  std::string rollout_service;
+  /// The order; absent if it was deleted.
+  std::optional<RolloutRequest> rollout;
 };
 
 /// Decodes record values. Implementations must be thread safe.
@@ -140,6 +176,12 @@
       const Record& record) const = 0;
   /// \return InvalidArgument if the record does not describe a usable backend server.
   [[nodiscard]] virtual absl::StatusOr<BackendServer> DecodeServer(const Record& record) const = 0;
+  /// Encodes the status of a roll-out.
+  [[nodiscard]] virtual Record EncodeRolloutStatus(const RolloutStatusRecord& status) const;
+  /// \return NotFound if the record is not the status of a roll-out or was deleted; InvalidArgument
+  ///         if it cannot be decoded.
+  [[nodiscard]] virtual absl::StatusOr<RolloutStatusRecord> DecodeRolloutStatus(
+      const Record& record) const;
 };
 
 /// Platform-specific parts of a gateway. All of them must outlive the gateway.
--- a/packages/gateway/include/lagoonwind/gateway_types.h
+++ b/packages/gateway/include/lagoonwind/gateway_types.h
@@ -13,6 +13,7 @@
 
 #include "lagoonwind/base.h"
 #include "lagoonwind/engine_load.h"
+#include "lagoonwind/rollout_types.h"
 
 /// \file
 /// Data types of a gateway: routes, services, configuration, backend servers and process settings.
@@ -117,6 +118,8 @@
   /// `IP:PORT`.
   std::string address;
   std::string zone;
+  /// Software version; empty if not stated.
+  std::string version;
   /// Unix time of the start of this incarnation, in milliseconds.
   std::int64_t start_time_ms = 0;
   /// Increases with each description that one incarnation publishes.
@@ -161,6 +164,8 @@
   milliseconds retry_window{10000};
   /// Window over which the customers' fair shares are computed.
   milliseconds share_window{4000};
+  /// Limits of roll-outs. If absent, orders have no effect and versions play no part.
+  std::optional<policy::RolloutLimits> rollout;
 };
 
 }  // namespace lagoonwind::gateway
--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -156,7 +156,8 @@
   std::vector<policy::Candidate> candidates;
   candidates.reserve(known_servers.size());
   for (const KnownServer* known : known_servers) {
-    if (std::ranges::find(tried_servers_, known->server.id) != tried_servers_.end()) {
+    if (std::ranges::find(tried_servers_, known->server.id) != tried_servers_.end() ||
+        !context_.rollouts.MaySendTo(service_, known->server.version)) {
       continue;
     }
     candidates.push_back(
--- a/packages/gateway/src/fleet_state.cc
+++ b/packages/gateway/src/fleet_state.cc
@@ -175,7 +175,8 @@
   }
   for (const Record& record : page.records) {
     if (topic == Topic::kOperator) {
-      ApplyOperatorRecord(record, page.generation, source, now);
+      ApplyOperatorRecord(record, page.generation, source, now,
+                          !complete && source == kStoreSource);
     } else if (topic == Topic::kServers) {
       ApplyServerRecord(record, !complete, source, now);
     }
@@ -265,10 +266,11 @@
 }
 
 void FleetState::ApplyOperatorRecord(const Record& record, std::int64_t generation,
-                                     std::string_view source, Time now) {
+                                     std::string_view source, Time now, bool is_change) {
   auto& known = records_[Topic::kOperator];
   const auto previous = known.find(record.key);
-  if (record.value && previous != known.end() && previous->second == *record.value) {
+  if (record.value && previous != known.end() && previous->second == *record.value &&
+      !RepeatsRollout(record)) {
     held_evacuations_.erase(record.key);
     return;
   }
@@ -299,6 +301,9 @@
   if (!change->evacuated_zone.empty()) {
     ApplyEvacuation(change->evacuated_zone, change->evacuation_ended, source, now);
   }
+  if (!change->rollout_service.empty()) {
+    ApplyRollout(record, *change, source, is_change, now);
+  }
 }
 
 bool FleetState::ApplyConfiguration(const std::shared_ptr<const Configuration>& configuration,
--- a/packages/gateway/src/fleet_state.h
+++ b/packages/gateway/src/fleet_state.h
@@ -30,6 +30,17 @@
   std::optional<Time> missing_since;
 };
 
+/// Roll-out order of a service that is in force.
+struct KnownRollout {
+  RolloutRequest request;
+  /// Identity of the order: its content and the position of its record.
+  std::uint64_t id = 0;
+  Time learned_at;
+  /// True if the order was received as a change of the store's records, so that it was written
+  /// about that time.
+  bool is_change = false;
+};
+
 /// Origin of pages that were read from the store, in the order of the calls.
 inline constexpr std::string_view kStoreSource = "store";
 
@@ -128,6 +139,12 @@
   [[nodiscard]] std::span<const KnownServer* const> EligibleServers(std::string_view service) const;
   /// Returns null if the backend server is unknown. Valid as long as those of EligibleServers().
   [[nodiscard]] const KnownServer* Find(ServerId id) const;
+  /// Roll-out orders in force, by service.
+  [[nodiscard]] const std::map<std::string, KnownRollout>& rollouts() const { return rollouts_; }
+  /// Offsets of the records of roll-out orders, by record key.
+  [[nodiscard]] const std::map<std::string, std::int64_t>& rollout_offsets() const {
+    return rollout_offsets_;
+  }
   [[nodiscard]] std::size_t server_count() const { return servers_.size(); }
 
  private:
@@ -141,8 +158,13 @@
   /// \param restored  True if the page is the first one of a generation.
   void ApplyAbsence(Topic topic, const std::string& key, bool restored, std::string_view source,
                     Time now);
+  /// \param is_change  True if the record was written about now; otherwise it may be older.
   void ApplyOperatorRecord(const Record& record, std::int64_t generation, std::string_view source,
-                           Time now);
+                           Time now, bool is_change = false);
+  /// True if the record repeats a roll-out order at another position, which makes it a new order.
+  [[nodiscard]] bool RepeatsRollout(const Record& record) const;
+  void ApplyRollout(const Record& record, const OperatorChange& change, std::string_view source,
+                    bool is_change, Time now);
   /// \return False if the configuration is not newer than the known one.
   bool ApplyConfiguration(const std::shared_ptr<const Configuration>& configuration,
                           std::int64_t generation, std::string_view source);
@@ -198,6 +220,8 @@
   absl::flat_hash_set<std::string> ended_evacuations_;
   /// Sets of evacuations that peers held and that were taken over in the present generation.
   absl::flat_hash_set<std::int64_t> known_held_digests_;
+  std::map<std::string, KnownRollout> rollouts_;
+  std::map<std::string, std::int64_t> rollout_offsets_;
   /// By record key.
   absl::flat_hash_map<std::string, KnownServer> servers_;
   /// Indexes of `servers_`, so that a request does not search all of them; empty and marked as
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -135,6 +135,7 @@
     StartService("follow_quarantine",
                  [this] { return context_.quarantine_records.FollowRecords(); });
     StartService("write_quarantine", [this] { return context_.quarantine_records.WriteRecords(); });
+    StartService("rollout_status", [this] { return context_.rollouts.MaintainStatus(); });
     StartService("readiness", [this] { return ServeReadiness(); });
     StartService("metrics", [this] { return ServeMetrics(); });
     StartService("accept", [this] { return AcceptCallers(); });
@@ -184,9 +185,10 @@
     metrics.Set("lagoonwind_gateway_server_records_age_seconds",
                 "Time since the store last answered about backend servers",
                 Milliseconds(now - server_follower_.last_response()) / 1000);
-    metrics.Set("lagoonwind_gateway_store_calls_total", "Calls to the store",
-                static_cast<double>(operator_follower_.calls() + server_follower_.calls() +
-                                    context_.quarantine_records.calls()));
+    metrics.Set(
+        "lagoonwind_gateway_store_calls_total", "Calls to the store",
+        static_cast<double>(operator_follower_.calls() + server_follower_.calls() +
+                            context_.quarantine_records.calls() + context_.rollouts.calls()));
     metrics.Set("lagoonwind_gateway_quarantined_segments",
                 "Prompt segments that are not sent as they crash engines",
                 static_cast<double>(context_.segments.Quarantined().size()));
@@ -289,6 +291,7 @@
       context_.fleet.RemoveMissingServers(Now());
       context_.fleet.ExpireHeldRecords(Now());
       context_.pool.CloseExpired(Now());
+      context_.rollouts.Update(Now());
       context_.log.Flush();
       timer.expires_after(kHousekeepingInterval);
       co_await timer.async_wait(asio::use_awaitable);
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -28,6 +28,8 @@
 constexpr std::uint64_t kReportsPerQuarantineList = 8;
 /// Gateways that write the record of a quarantined segment. One may be cut off from the store.
 constexpr int kQuarantineWriters = 2;
+/// Gateways that write the status of a roll-out. Some may be cut off from the store.
+constexpr int kRolloutWriters = 3;
 /// Largest number of quarantined requests in one report.
 constexpr std::size_t kMaxListedRequests = 64;
 /// Fraction of the process memory that responses may occupy until they are passed on.
@@ -81,6 +83,13 @@
            .is_writer =
                [this](std::uint64_t key) { return peers.IsOwner(key, kQuarantineWriters); },
            .fleet_size = [this] { return peers.fleet_size(); }}),
+      rollouts(
+          {.store = own_adapter.store,
+           .codec = own_adapter.records,
+           .fleet = fleet,
+           .log = log,
+           .limits = own_settings.rollout,
+           .is_writer = [this](std::uint64_t key) { return peers.IsOwner(key, kRolloutWriters); }}),
       response_memory(ResponseMemoryLimit(own_settings)),
       started(Now()) {
   fleet.SetServerRemovedCallback([this](const BackendServer& server) { ClearServerState(server); });
--- a/packages/gateway/src/gateway_context.h
+++ b/packages/gateway/src/gateway_context.h
@@ -24,6 +24,7 @@
 #include "quarantine_records.h"
 #include "report_filter.h"
 #include "report_window.h"
+#include "rollout_manager.h"
 
 namespace lagoonwind::gateway {
 
@@ -69,6 +70,7 @@
   policy::Dispatcher dispatcher;
   Peers peers;
   QuarantineRecords quarantine_records;
+  RolloutManager rollouts;
   /// Open connections of callers. Shared with them, as some are only destroyed with `io`.
   std::shared_ptr<SessionSet> sessions = std::make_shared<SessionSet>();
   /// Number of requests from this gateway that are outstanding at each backend server.
--- a/packages/gateway/src/record_copier.cc
+++ b/packages/gateway/src/record_copier.cc
@@ -37,6 +37,8 @@
 constexpr std::int64_t kMaxAgeMilliseconds = 3'600'000;
 constexpr const char* kGenerationField = "generation";
 constexpr const char* kHeldField = "held_ms";
+/// Offsets of the records of roll-out orders, by key.
+constexpr const char* kOffsetsField = "offsets";
 constexpr const char* kAgeField = "age_ms";
 /// Largest number of suspects that a peer is told of.
 constexpr std::size_t kMaxCopiedSuspects = 512;
@@ -63,10 +65,20 @@
       }
       page.records.push_back(std::move(record));
     }
+    // Changes have consecutive offsets, the last of which precedes the end.
+    std::int64_t offset = page.next_offset - std::ssize(page.records);
+    for (Record& record : page.records) {
+      record.offset = offset++;
+    }
     return page;
   }
+  const json offsets = topic.value(kOffsetsField, json::object());
   for (const auto& [key, value] : topic.at("records").items()) {
-    page.records.push_back({.key = key, .value = value.get<std::string>()});
+    Record record{.key = key, .value = value.get<std::string>()};
+    if (const auto offset = offsets.find(key); offset != offsets.end()) {
+      record.offset = offset->get<std::int64_t>();
+    }
+    page.records.push_back(std::move(record));
   }
   return page;
 }
@@ -173,6 +185,7 @@
                 : json{{"next_offset", fleet.offset(topic)}, {"records", fleet.records(topic)}};
     topics[name][kGenerationField] = fleet.position(topic).generation;
   }
+  topics["operator"][kOffsetsField] = fleet.rollout_offsets();
   json& held = topics["operator"][kHeldField] = json::object();
   for (const auto& [key, remaining] : fleet.HeldEvacuations(Now())) {
     held[key] = remaining.count();
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -195,16 +195,14 @@
 }
 
 void PlatformWorld::Register(const Registration& registration) {
-  Put("keyed.servers", registration.name,
-      json{{"backend", registration.service},
-           {"addr", registration.address},
-           {"zone", registration.zone},
-           {"slots", 8},
-           {"state", registration.state},
-           {"cold_left_ms", 0},
-           {"seq", registration.sequence},
-           {"born", registration.born}}
-          .dump());
+  json record{{"backend", registration.service}, {"addr", registration.address},
+              {"zone", registration.zone},       {"slots", 8},
+              {"state", registration.state},     {"cold_left_ms", 0},
+              {"seq", registration.sequence},    {"born", registration.born}};
+  if (!registration.version.empty()) {
+    record["version"] = registration.version;
+  }
+  Put("keyed.servers", registration.name, record.dump());
 }
 
 void PlatformWorld::SetProcessingTime(milliseconds time) {
@@ -476,16 +474,18 @@
 
 Process& PlatformWorld::StartGateway(int number, bool await_ready) {
   const std::string ip = IpOf(number);
-  const json settings{
-      {"node_name", absl::StrCat("edge-", number)},
-      {"zone", "z1"},
-      {"ip", ip},
-      {"listen", {{"front", CallerAddress(number)}, {"ready", ReadinessAddress(number)}}},
-      {"port_range", {kPeerPort, kPeerPort + 10}},
-      {"seeds", {absl::StrCat(IpOf(1), ":1"), absl::StrCat(IpOf(2), ":1")}},
-      {"limits", {{"ram_mb", 110}, {"cpu_share", 1}, {"max_fds", max_descriptors_}}},
-      {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 54}}},
-      {"platform", {{"addr", store_address_}}}};
+  json settings{{"node_name", absl::StrCat("edge-", number)},
+                {"zone", "z1"},
+                {"ip", ip},
+                {"listen", {{"front", CallerAddress(number)}, {"ready", ReadinessAddress(number)}}},
+                {"port_range", {kPeerPort, kPeerPort + 10}},
+                {"seeds", {absl::StrCat(IpOf(1), ":1"), absl::StrCat(IpOf(2), ":1")}},
+                {"limits", {{"ram_mb", 110}, {"cpu_share", 1}, {"max_fds", max_descriptors_}}},
+                {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 54}}},
+                {"platform", {{"addr", store_address_}}}};
+  if (rollouts_enabled_) {
+    settings["bounds"].update({{"canary_share", 0.1}, {"canary_slack", 50}, {"rollback_ms", 5000}});
+  }
   const auto path = directory_ / absl::StrCat("node-", number, ".json");
   std::ofstream(path) << settings.dump();
   setenv("LAGOONWIND_BOOT", path.c_str(), 1);
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -69,6 +69,8 @@
   std::string zone = "z1";
   /// Increases with each record of the incarnation.
   std::int64_t sequence = 1;
+  /// Software version; empty for none.
+  std::string version;
 };
 
 /// A record as the store holds it.
@@ -134,6 +136,8 @@
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   void Delete(const std::string& topic, const std::string& key);
   [[nodiscard]] std::string store_address() const;
+  /// Gives the settings of gateways started afterwards the limits of roll-outs.
+  void EnableRollouts() { rollouts_enabled_ = true; }
   /// Sets the store address in the settings of gateways started afterwards.
   void SetStoreAddress(const std::string& address) { store_address_ = address; }
   /// Sets the descriptor limit in the settings of gateways started afterwards.
@@ -216,7 +220,8 @@
   http::asio::awaitable<http::Response> HandleStoreCall(http::Request request,
                                                         std::optional<int>& era);
   http::asio::awaitable<http::Response> HandleServer(std::size_t index, http::Request request);
-  http::Response Append(const std::string& topic, std::string_view records);
+  /// \param at  Offset at which the topic must end, or empty. Responds with status 412 otherwise.
+  http::Response Append(const std::string& topic, std::string_view records, const std::string& at);
   http::Response ReadNewest(const std::string& topic) const;
   /// Responds with status 410 if the topic ends before `from`.
   http::Response ReadFrom(const std::string& topic, std::int64_t from) const;
@@ -237,6 +242,7 @@
   std::string held_topic_;
   std::string store_address_;
   int max_descriptors_ = 4096;
+  bool rollouts_enabled_ = false;
   std::chrono::milliseconds processing_time_{0};
   /// Overrides `processing_time_` if set.
   std::function<std::chrono::milliseconds(const http::Request&)> processing_times_;
--- a/tests/support/platform_world_store.cc
+++ b/tests/support/platform_world_store.cc
@@ -42,7 +42,8 @@
 
 }  // namespace
 
-http::Response PlatformWorld::Append(const std::string& topic, std::string_view records) {
+http::Response PlatformWorld::Append(const std::string& topic, std::string_view records,
+                                     const std::string& at) {
   if (topic == "keyed.op" || topic == "keyed.servers") {
     return {.status = 403};
   }
@@ -68,6 +69,11 @@
     parsed.push_back(std::move(record));
   }
   const auto offset = std::ranges::count(records_, topic, &StoredRecord::topic);
+  if (!at.empty() && at != absl::StrCat(offset)) {
+    http::Response response = JsonResponse({{"end", offset}});
+    response.status = 412;
+    return response;
+  }
   const auto end = offset + std::ssize(parsed);
   std::ranges::move(parsed, std::back_inserter(records_));
   return JsonResponse({{"offset", offset}, {"end", end}});
@@ -75,17 +81,19 @@
 
 http::Response PlatformWorld::ReadNewest(const std::string& topic) const {
   std::map<std::string, std::string> newest;
+  std::map<std::string, std::int64_t> offsets;
   std::int64_t end = 0;
   for (const StoredRecord& record : records_) {
     if (record.topic == topic) {
       newest[record.key] = record.value;
-      ++end;
+      offsets[record.key] = end++;
     }
   }
   json items = json::array();
   for (const auto& [key, value] : newest) {
     if (!value.empty()) {
-      items.push_back({{"key", key}, {"value", absl::Base64Escape(value)}, {"offset", 0}});
+      items.push_back(
+          {{"key", key}, {"value", absl::Base64Escape(value)}, {"offset", offsets[key]}});
     }
   }
   return JsonResponse({{"items", items}, {"has_more", false}, {"end", end}});
@@ -161,7 +169,7 @@
         co_return ReadNewest(topic);
       }
       if (request.target.starts_with("/api/log-append")) {
-        co_return Append(topic, request.body);
+        co_return Append(topic, request.body, http::QueryParameter(request.target, "at"));
       }
       if (!reads_newest) {
         auto page = ReadFrom(topic, std::stoll(from));
