--- a/packages/policy/include/lagoonwind/rollout.h
+++ b/packages/policy/include/lagoonwind/rollout.h
@@ -103,25 +103,34 @@
   void Enter(RolloutState state, std::string_view reason, Time now);
   /// Enters kUnknown if the process was suspended since the last call.
   void NoteTime(Time now);
+  [[nodiscard]] bool TargetUsable() const;
   /// True if the roll-out can still change at this gateway.
   [[nodiscard]] bool Active() const;
   /// True if the report shows its sender's present state.
   [[nodiscard]] bool IsFresh(const RolloutReport& report, Time now) const;
   void FollowPeer(const RolloutReport& report, Time now);
+  /// Starts a trial if all gateways report kUnknown, as after a restart of the whole fleet.
   void LeaveUnknown(Time now);
   void AddTotals(const RolloutReport& report);
-  /// Recomputes totals_ and the medians.
+  /// Recomputes totals_ and medians_.
   void Summarize(Time now);
+  /// Adds the finished response to the seconds of the local report.
+  void CountSecond(RolloutVersion version, const RolloutOutcome& outcome, Time now);
   /// Returns why the target is bad; empty if the evidence does not show it.
   [[nodiscard]] std::string_view Judge() const;
+  /// Judges each route over all the time since the order.
+  /// \param threshold  Probability below which a good version's result is taken for a bad one's.
+  [[nodiscard]] std::string_view JudgeRoutes(double threshold) const;
+  /// Judges the last seconds.
   [[nodiscard]] std::string_view JudgeRecent() const;
-  /// True if the evidence supports sending all requests to the target.
+  /// True if there is evidence and nothing in it points at a bad version.
   [[nodiscard]] bool SupportsSwitch() const;
   /// When kSwitching starts, as time since the order.
   [[nodiscard]] Duration SwitchTime() const;
-  [[nodiscard]] bool LeftOld() const;
+  /// Shortest time in kSwitching, so that a version that fails under full load only is noticed.
+  [[nodiscard]] Duration LeastSwitching() const;
+  [[nodiscard]] bool LeftOld(Time now) const;
   [[nodiscard]] bool AllLeftOld(Time now) const;
-  [[nodiscard]] std::uint64_t TargetResponses() const;
   RolloutRouteCounts& LocalRoute(RouteId route);
 
   RolloutOrder order_;
@@ -135,8 +144,10 @@
   /// Estimate of when the order was written.
   Time start_;
   Time last_call_;
-  Time unknown_since_;
-  Time last_peer_report_;
+  /// When the present state was entered.
+  Time state_since_;
+  /// When a peer's fresh report or the store was last read.
+  Time last_contact_;
   Time last_choice_;
   /// Target attempts that were chosen and not yet sent.
   std::uint64_t reserved_ = 0;
@@ -150,6 +161,8 @@
   std::array<Duration, 2> longest_old_{};
   Time longest_since_;
   Totals totals_;
+  /// The first evidence supports the target.
+  bool supported_ = false;
   /// Class of the old version's median time to first and last byte, by route.
   absl::btree_map<RouteId, std::array<std::size_t, 2>> medians_;
 };
