--- a/packages/gateway/src/exchange.cc
+++ b/packages/gateway/src/exchange.cc
@@ -157,7 +157,7 @@
   candidates.reserve(known_servers.size());
   for (const KnownServer* known : known_servers) {
     if (std::ranges::find(tried_servers_, known->server.id) != tried_servers_.end() ||
-        !context_.rollouts.MaySendTo(service_, known->server.version)) {
+        !context_.rollouts.IsOf(service_, known->server.version, version_)) {
       continue;
     }
     candidates.push_back(
@@ -229,7 +229,7 @@
     co_return co_await SendLocalResponse(kUnavailable, kQuarantined, QuarantineRetryAfter(now));
   }
   for (;;) {
-    decision_ = DecideNext(Now());
+    decision_ = DecideWithVersion(Now());
     if (attempts_ == 0) {
       first_decision_ = decision_;
     }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -99,7 +99,14 @@
   [[nodiscard]] policy::DispatchDecision Decide(Time now);
   /// Decides on the next attempt, as reserved if the reservation still holds.
   policy::DispatchDecision DecideNext(Time now);
+  /// Backend servers of the version that the request is to be sent to.
   [[nodiscard]] std::vector<policy::Candidate> Candidates(Time now) const;
+  /// Chooses the version for the next attempt.
+  void ChooseVersion(Time now);
+  /// Decides on the next attempt; uses the old version if the target has no room.
+  policy::DispatchDecision DecideWithVersion(Time now);
+  /// Records the end of an attempt as evidence about the version of the backend server.
+  void RecordVersionOutcome(const BackendServer& server, AttemptResult result);
   /// Number of requests of this gateway that run on each candidate.
   [[nodiscard]] std::vector<int> OutstandingRequests(
       std::span<const policy::Candidate> candidates) const;
@@ -237,6 +244,10 @@
   int event_reads_ = 0;
   /// True if the response of the running attempt ended with its connection.
   bool ended_in_order_ = false;
+  /// Version for the next attempt; absent if versions play no part.
+  std::optional<policy::RolloutVersion> version_;
+  /// Time to the first byte of the running attempt.
+  std::optional<Duration> attempt_first_byte_;
   Time sent_at_{};
   Time first_byte_at_{};
   std::string last_server_;
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -89,6 +89,7 @@
   context_.cold_start_limiter.RecordSent(server_id, Now());
   BackendPool::Connection connection = context_.pool.Acquire(server_id);
   AttemptResult result = AttemptResult::kNotSent;
+  const Time last_sent = sent_at_;
   if (connection == nullptr) {
     auto opened = co_await context_.pool.Open(server.address);
     if (opened.ok()) {
@@ -117,6 +118,9 @@
                  : co_await AttemptOnConnection(std::move(connection), server);
   }
   connection_ = nullptr;
+  if (attempts_ == 1 && version_ == policy::RolloutVersion::kTarget && sent_at_ == last_sent) {
+    context_.rollouts.CancelChoice(service_, Now());
+  }
   --context_.outstanding[server_id];
   if (prompt) {
     context_.load.RecordEnd(server_id, load_request_number_, Now());
@@ -137,6 +141,8 @@
                                 : true;
                    });
   sent_at_ = Now();
+  context_.rollouts.RecordSent(service_, server.version, sent_at_);
+  attempt_first_byte_.reset();
   response_begun_ = false;
   event_reads_ = 0;
   ended_in_order_ = false;
@@ -148,6 +154,7 @@
                                   accepted_.request.prompt->input_tokens, sent_at_);
   }
   const AttemptResult result = co_await ReceiveResponse(call, server);
+  RecordVersionOutcome(server, result);
   if (result == AttemptResult::kNotExecuted) {
     --unresolved_attempts_;
   }
@@ -299,6 +306,7 @@
   }
   response_begun_ = true;
   const Time now = Now();
+  attempt_first_byte_ = now - sent_at_;
   if (accepted_.request.prompt) {
     context_.load.RecordFirstByte(server.id, load_request_number_, now);
     const Duration expected = decision_.estimate.queueing_delay + decision_.estimate.prefill_time;
--- a/packages/gateway/src/exchange_watchdog.cc
+++ b/packages/gateway/src/exchange_watchdog.cc
@@ -86,10 +86,11 @@
 policy::DispatchDecision Exchange::DecideNext(Time now) {
   // The reserved server may have become ineligible meanwhile.
   const bool usable =
-      reserved_ && std::ranges::any_of(context_.fleet.EligibleServers(service_),
-                                       [this](const KnownServer* known) {
-                                         return known->server.id == reserved_->server;
-                                       });
+      reserved_ && std::ranges::any_of(
+                       context_.fleet.EligibleServers(service_), [this](const KnownServer* known) {
+                         return known->server.id == reserved_->server &&
+                                context_.rollouts.IsOf(service_, known->server.version, version_);
+                       });
   policy::DispatchDecision decision = usable ? *reserved_ : Decide(now);
   reserved_.reset();
   if (decision.verdict != policy::DispatchVerdict::kSend && !stalled_servers_.empty()) {
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -218,6 +218,7 @@
                 context_.load.prefill_rate());
     metrics.Set("lagoonwind_gateway_log_lines_dropped_total", "Log lines that were dropped",
                 static_cast<double>(context_.log.dropped()));
+    context_.rollouts.UpdateMetrics(metrics, now);
     for (auto& [service, budget] : context_.budgets) {
       metrics.Set("lagoonwind_gateway_retry_budget_left",
                   "Repeated sends that this gateway may still make, by service",
--- a/packages/gateway/src/gateway_context.cc
+++ b/packages/gateway/src/gateway_context.cc
@@ -28,6 +28,8 @@
 constexpr std::uint64_t kReportsPerQuarantineList = 8;
 /// Gateways that write the record of a quarantined segment. One may be cut off from the store.
 constexpr int kQuarantineWriters = 2;
+/// Reports between two that state the progress of roll-outs.
+constexpr std::uint64_t kReportsPerRolloutUpdate = 2;
 /// Gateways that write the status of a roll-out. Some may be cut off from the store.
 constexpr int kRolloutWriters = 3;
 /// Largest number of quarantined requests in one report.
@@ -89,7 +91,9 @@
            .fleet = fleet,
            .log = log,
            .limits = own_settings.rollout,
-           .is_writer = [this](std::uint64_t key) { return peers.IsOwner(key, kRolloutWriters); }}),
+           .is_writer = [this](std::uint64_t key) { return peers.IsOwner(key, kRolloutWriters); },
+           .self = peers.incarnation(),
+           .members = [this] { return peers.Members(); }}),
       response_memory(ResponseMemoryLimit(own_settings)),
       started(Now()) {
   fleet.SetServerRemovedCallback([this](const BackendServer& server) { ClearServerState(server); });
@@ -129,6 +133,9 @@
   if (report_count_++ % kReportsPerCustomerUpdate == 0) {
     report.customers = share.LocalReports();
   }
+  if (report_count_ % kReportsPerRolloutUpdate == 0) {
+    report.rollouts = rollouts.LocalReports(now);
+  }
   report_filter_.Apply(report);
 }
 
@@ -136,6 +143,7 @@
   const Time now = Now();
   load.MergePeerReport(report.sender, report.engines, report.segments, now);
   share.MergePeerReport(report.sender, report.customers, now);
+  rollouts.MergePeerReports(report.sender, report.rollouts, now);
   ApplySuspectsReport(report, now);
   ApplyQuarantineReport(report, now);
 }
--- a/packages/gateway/src/peers.cc
+++ b/packages/gateway/src/peers.cc
@@ -135,14 +135,19 @@
   }
 }
 
-int Peers::CountFleet(Time now) const {
-  const auto is_member = [&](const auto& item) {
-    const Peer& peer = item.second;
-    return now - std::max(peer.last_received, peer.last_listed) < kFleetMemberTtl;
-  };
-  return static_cast<int>(std::ranges::count_if(peers_, is_member)) + 1;
+std::vector<Incarnation> Peers::Members() const {
+  std::vector<Incarnation> members;
+  const Time now = Now();
+  for (const auto& [address, peer] : peers_) {
+    if (now - std::max(peer.last_received, peer.last_listed) < kFleetMemberTtl) {
+      members.push_back(peer.incarnation.valid() ? peer.incarnation : Incarnation{peer.id.value});
+    }
+  }
+  return members;
 }
 
+int Peers::CountFleet() const { return static_cast<int>(Members().size()) + 1; }
+
 bool Peers::IsOwner(std::uint64_t key, int owners) const {
   const std::uint64_t own_hash = CombineHashes(key, StableHash(options_.settings.ip));
   const auto preceding = std::ranges::count_if(peers_, [&](const auto& item) {
@@ -275,7 +280,7 @@
   }
   live_count_ = static_cast<int>(
       std::ranges::count_if(peers_, [](const auto& item) { return item.second.is_up; }));
-  fleet_size_ = CountFleet(now);
+  fleet_size_ = CountFleet();
 }
 
 void Peers::Send(const std::string& datagram, Peer& peer, Time now) {
--- a/packages/gateway/src/peers.h
+++ b/packages/gateway/src/peers.h
@@ -53,6 +53,11 @@
 
   /// Number of gateways that fleet-wide limits are divided among, including this one.
   [[nodiscard]] int fleet_size() const { return fleet_size_; }
+  /// Incarnation of this gateway.
+  [[nodiscard]] Incarnation incarnation() const { return options_.incarnation; }
+  /// Incarnations of the other gateways that are up or that the store lists. One that was listed
+  /// but not heard yet has an incarnation that never reports.
+  [[nodiscard]] std::vector<Incarnation> Members() const;
   /// Number of peers from which a report was received recently.
   [[nodiscard]] int live_count() const { return live_count_; }
   /// True if this gateway is among the `owners` gateways that rendezvous hashing selects for `key`.
@@ -107,7 +112,7 @@
   void ApplyReport(const wire::GatewayReport& report, Peer& peer);
   void ApplyRelayedReport(const wire::GatewayReport& report);
   void UpdateLiveness(Time now);
-  [[nodiscard]] int CountFleet(Time now) const;
+  [[nodiscard]] int CountFleet() const;
   /// Returns null if `address` is not that of another gateway.
   Peer* FindOrAddPeer(const std::string& address);
   void AddPeer(const std::string& address);
--- a/packages/wire/gen/lagoonwind_types.cpp
+++ b/packages/wire/gen/lagoonwind_types.cpp
@@ -6460,6 +6460,884 @@
 }
 
 
+RolloutCountsReport::~RolloutCountsReport() noexcept {
+}
+
+
+void RolloutCountsReport::__set_responses(const int32_t val) {
+  this->responses = val;
+}
+
+void RolloutCountsReport::__set_failures(const int32_t val) {
+  this->failures = val;
+}
+
+void RolloutCountsReport::__set_first_byte(const std::vector<int32_t> & val) {
+  this->first_byte = val;
+}
+
+void RolloutCountsReport::__set_total(const std::vector<int32_t> & val) {
+  this->total = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutCountsReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutCountsReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->responses);
+          this->__isset.responses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->first_byte.clear();
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->first_byte.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
+            {
+              xfer += iprot->readI32(this->first_byte[_i192]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.first_byte = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->total.clear();
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->total.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
+            {
+              xfer += iprot->readI32(this->total[_i197]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutCountsReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutCountsReport");
+
+  xfer += oprot->writeFieldBegin("responses", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->responses);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first_byte", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->first_byte.size()));
+    std::vector<int32_t> ::const_iterator _iter198;
+    for (_iter198 = this->first_byte.begin(); _iter198 != this->first_byte.end(); ++_iter198)
+    {
+      xfer += oprot->writeI32((*_iter198));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->total.size()));
+    std::vector<int32_t> ::const_iterator _iter199;
+    for (_iter199 = this->total.begin(); _iter199 != this->total.end(); ++_iter199)
+    {
+      xfer += oprot->writeI32((*_iter199));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutCountsReport &a, RolloutCountsReport &b) {
+  using ::std::swap;
+  swap(a.responses, b.responses);
+  swap(a.failures, b.failures);
+  swap(a.first_byte, b.first_byte);
+  swap(a.total, b.total);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutCountsReport::RolloutCountsReport(const RolloutCountsReport& other200) {
+  responses = other200.responses;
+  failures = other200.failures;
+  first_byte = other200.first_byte;
+  total = other200.total;
+  __isset = other200.__isset;
+}
+RolloutCountsReport::RolloutCountsReport(RolloutCountsReport&& other201) noexcept {
+  responses = other201.responses;
+  failures = other201.failures;
+  first_byte = std::move(other201.first_byte);
+  total = std::move(other201.total);
+  __isset = other201.__isset;
+}
+RolloutCountsReport& RolloutCountsReport::operator=(const RolloutCountsReport& other202) {
+  responses = other202.responses;
+  failures = other202.failures;
+  first_byte = other202.first_byte;
+  total = other202.total;
+  __isset = other202.__isset;
+  return *this;
+}
+RolloutCountsReport& RolloutCountsReport::operator=(RolloutCountsReport&& other203) noexcept {
+  responses = other203.responses;
+  failures = other203.failures;
+  first_byte = std::move(other203.first_byte);
+  total = std::move(other203.total);
+  __isset = other203.__isset;
+  return *this;
+}
+void RolloutCountsReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutCountsReport(";
+  out << "responses=" << to_string(responses);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "first_byte=" << to_string(first_byte);
+  out << ", " << "total=" << to_string(total);
+  out << ")";
+}
+
+
+RolloutRouteReport::~RolloutRouteReport() noexcept {
+}
+
+
+void RolloutRouteReport::__set_route(const int64_t val) {
+  this->route = val;
+}
+
+void RolloutRouteReport::__set_old_version(const RolloutCountsReport& val) {
+  this->old_version = val;
+}
+
+void RolloutRouteReport::__set_target_version(const RolloutCountsReport& val) {
+  this->target_version = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutRouteReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutRouteReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->old_version.read(iprot);
+          this->__isset.old_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target_version.read(iprot);
+          this->__isset.target_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutRouteReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutRouteReport");
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("old_version", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->old_version.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_version", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->target_version.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutRouteReport &a, RolloutRouteReport &b) {
+  using ::std::swap;
+  swap(a.route, b.route);
+  swap(a.old_version, b.old_version);
+  swap(a.target_version, b.target_version);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutRouteReport::RolloutRouteReport(const RolloutRouteReport& other204) {
+  route = other204.route;
+  old_version = other204.old_version;
+  target_version = other204.target_version;
+  __isset = other204.__isset;
+}
+RolloutRouteReport::RolloutRouteReport(RolloutRouteReport&& other205) noexcept {
+  route = other205.route;
+  old_version = std::move(other205.old_version);
+  target_version = std::move(other205.target_version);
+  __isset = other205.__isset;
+}
+RolloutRouteReport& RolloutRouteReport::operator=(const RolloutRouteReport& other206) {
+  route = other206.route;
+  old_version = other206.old_version;
+  target_version = other206.target_version;
+  __isset = other206.__isset;
+  return *this;
+}
+RolloutRouteReport& RolloutRouteReport::operator=(RolloutRouteReport&& other207) noexcept {
+  route = other207.route;
+  old_version = std::move(other207.old_version);
+  target_version = std::move(other207.target_version);
+  __isset = other207.__isset;
+  return *this;
+}
+void RolloutRouteReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutRouteReport(";
+  out << "route=" << to_string(route);
+  out << ", " << "old_version=" << to_string(old_version);
+  out << ", " << "target_version=" << to_string(target_version);
+  out << ")";
+}
+
+
+RolloutSecondReport::~RolloutSecondReport() noexcept {
+}
+
+
+void RolloutSecondReport::__set_second(const int32_t val) {
+  this->second = val;
+}
+
+void RolloutSecondReport::__set_counts(const std::vector<int32_t> & val) {
+  this->counts = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutSecondReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutSecondReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->second);
+          this->__isset.second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->counts.clear();
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->counts.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
+            {
+              xfer += iprot->readI32(this->counts[_i212]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutSecondReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutSecondReport");
+
+  xfer += oprot->writeFieldBegin("second", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
+    std::vector<int32_t> ::const_iterator _iter213;
+    for (_iter213 = this->counts.begin(); _iter213 != this->counts.end(); ++_iter213)
+    {
+      xfer += oprot->writeI32((*_iter213));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutSecondReport &a, RolloutSecondReport &b) {
+  using ::std::swap;
+  swap(a.second, b.second);
+  swap(a.counts, b.counts);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutSecondReport::RolloutSecondReport(const RolloutSecondReport& other214) {
+  second = other214.second;
+  counts = other214.counts;
+  __isset = other214.__isset;
+}
+RolloutSecondReport::RolloutSecondReport(RolloutSecondReport&& other215) noexcept {
+  second = other215.second;
+  counts = std::move(other215.counts);
+  __isset = other215.__isset;
+}
+RolloutSecondReport& RolloutSecondReport::operator=(const RolloutSecondReport& other216) {
+  second = other216.second;
+  counts = other216.counts;
+  __isset = other216.__isset;
+  return *this;
+}
+RolloutSecondReport& RolloutSecondReport::operator=(RolloutSecondReport&& other217) noexcept {
+  second = other217.second;
+  counts = std::move(other217.counts);
+  __isset = other217.__isset;
+  return *this;
+}
+void RolloutSecondReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutSecondReport(";
+  out << "second=" << to_string(second);
+  out << ", " << "counts=" << to_string(counts);
+  out << ")";
+}
+
+
+RolloutReport::~RolloutReport() noexcept {
+}
+
+
+void RolloutReport::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void RolloutReport::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void RolloutReport::__set_elapsed_ms(const int64_t val) {
+  this->elapsed_ms = val;
+}
+
+void RolloutReport::__set_requests(const int64_t val) {
+  this->requests = val;
+}
+
+void RolloutReport::__set_sent_old(const int64_t val) {
+  this->sent_old = val;
+}
+
+void RolloutReport::__set_sent_target(const int64_t val) {
+  this->sent_target = val;
+}
+
+void RolloutReport::__set_outstanding_old(const int32_t val) {
+  this->outstanding_old = val;
+}
+
+void RolloutReport::__set_outstanding_target(const int32_t val) {
+  this->outstanding_target = val;
+}
+
+void RolloutReport::__set_left_old(const bool val) {
+  this->left_old = val;
+}
+
+void RolloutReport::__set_longest_old_ms(const int64_t val) {
+  this->longest_old_ms = val;
+}
+
+void RolloutReport::__set_routes(const std::vector<RolloutRouteReport> & val) {
+  this->routes = val;
+}
+
+void RolloutReport::__set_seconds(const std::vector<RolloutSecondReport> & val) {
+  this->seconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->elapsed_ms);
+          this->__isset.elapsed_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_old);
+          this->__isset.sent_old = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_target);
+          this->__isset.sent_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outstanding_old);
+          this->__isset.outstanding_old = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outstanding_target);
+          this->__isset.outstanding_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->left_old);
+          this->__isset.left_old = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->longest_old_ms);
+          this->__isset.longest_old_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->routes.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
+            {
+              xfer += this->routes[_i222].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->seconds.clear();
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->seconds.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
+            {
+              xfer += this->seconds[_i227].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.seconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutReport");
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("elapsed_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->elapsed_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_old", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sent_old);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_target", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->sent_target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outstanding_old", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->outstanding_old);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outstanding_target", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->outstanding_target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_old", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->left_old);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("longest_old_ms", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->longest_old_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<RolloutRouteReport> ::const_iterator _iter228;
+    for (_iter228 = this->routes.begin(); _iter228 != this->routes.end(); ++_iter228)
+    {
+      xfer += (*_iter228).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seconds", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->seconds.size()));
+    std::vector<RolloutSecondReport> ::const_iterator _iter229;
+    for (_iter229 = this->seconds.begin(); _iter229 != this->seconds.end(); ++_iter229)
+    {
+      xfer += (*_iter229).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutReport &a, RolloutReport &b) {
+  using ::std::swap;
+  swap(a.order, b.order);
+  swap(a.state, b.state);
+  swap(a.elapsed_ms, b.elapsed_ms);
+  swap(a.requests, b.requests);
+  swap(a.sent_old, b.sent_old);
+  swap(a.sent_target, b.sent_target);
+  swap(a.outstanding_old, b.outstanding_old);
+  swap(a.outstanding_target, b.outstanding_target);
+  swap(a.left_old, b.left_old);
+  swap(a.longest_old_ms, b.longest_old_ms);
+  swap(a.routes, b.routes);
+  swap(a.seconds, b.seconds);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutReport::RolloutReport(const RolloutReport& other230) {
+  order = other230.order;
+  state = other230.state;
+  elapsed_ms = other230.elapsed_ms;
+  requests = other230.requests;
+  sent_old = other230.sent_old;
+  sent_target = other230.sent_target;
+  outstanding_old = other230.outstanding_old;
+  outstanding_target = other230.outstanding_target;
+  left_old = other230.left_old;
+  longest_old_ms = other230.longest_old_ms;
+  routes = other230.routes;
+  seconds = other230.seconds;
+  __isset = other230.__isset;
+}
+RolloutReport::RolloutReport(RolloutReport&& other231) noexcept {
+  order = other231.order;
+  state = other231.state;
+  elapsed_ms = other231.elapsed_ms;
+  requests = other231.requests;
+  sent_old = other231.sent_old;
+  sent_target = other231.sent_target;
+  outstanding_old = other231.outstanding_old;
+  outstanding_target = other231.outstanding_target;
+  left_old = other231.left_old;
+  longest_old_ms = other231.longest_old_ms;
+  routes = std::move(other231.routes);
+  seconds = std::move(other231.seconds);
+  __isset = other231.__isset;
+}
+RolloutReport& RolloutReport::operator=(const RolloutReport& other232) {
+  order = other232.order;
+  state = other232.state;
+  elapsed_ms = other232.elapsed_ms;
+  requests = other232.requests;
+  sent_old = other232.sent_old;
+  sent_target = other232.sent_target;
+  outstanding_old = other232.outstanding_old;
+  outstanding_target = other232.outstanding_target;
+  left_old = other232.left_old;
+  longest_old_ms = other232.longest_old_ms;
+  routes = other232.routes;
+  seconds = other232.seconds;
+  __isset = other232.__isset;
+  return *this;
+}
+RolloutReport& RolloutReport::operator=(RolloutReport&& other233) noexcept {
+  order = other233.order;
+  state = other233.state;
+  elapsed_ms = other233.elapsed_ms;
+  requests = other233.requests;
+  sent_old = other233.sent_old;
+  sent_target = other233.sent_target;
+  outstanding_old = other233.outstanding_old;
+  outstanding_target = other233.outstanding_target;
+  left_old = other233.left_old;
+  longest_old_ms = other233.longest_old_ms;
+  routes = std::move(other233.routes);
+  seconds = std::move(other233.seconds);
+  __isset = other233.__isset;
+  return *this;
+}
+void RolloutReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutReport(";
+  out << "order=" << to_string(order);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "elapsed_ms=" << to_string(elapsed_ms);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "sent_old=" << to_string(sent_old);
+  out << ", " << "sent_target=" << to_string(sent_target);
+  out << ", " << "outstanding_old=" << to_string(outstanding_old);
+  out << ", " << "outstanding_target=" << to_string(outstanding_target);
+  out << ", " << "left_old=" << to_string(left_old);
+  out << ", " << "longest_old_ms=" << to_string(longest_old_ms);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "seconds=" << to_string(seconds);
+  out << ")";
+}
+
+
 GatewayReport::~GatewayReport() noexcept {
 }
 
@@ -6591,6 +7469,11 @@
   this->request_responses = val;
 __isset.request_responses = true;
 }
+
+void GatewayReport::__set_rollouts(const std::vector<RolloutReport> & val) {
+  this->rollouts = val;
+__isset.rollouts = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayReport& obj)
 {
   obj.printTo(out);
@@ -6655,14 +7538,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known_peers.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->known_peers.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->known_peers.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += iprot->readString(this->known_peers[_i192]);
+              xfer += iprot->readString(this->known_peers[_i238]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6675,14 +7558,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->engines.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->engines.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              xfer += this->engines[_i197].read(iprot);
+              xfer += this->engines[_i243].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6695,14 +7578,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->parts.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->parts.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += this->parts[_i202].read(iprot);
+              xfer += this->parts[_i248].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6715,14 +7598,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size203;
-            ::apache::thrift::protocol::TType _etype206;
-            xfer += iprot->readListBegin(_etype206, _size203);
-            this->customers.resize(_size203);
-            uint32_t _i207;
-            for (_i207 = 0; _i207 < _size203; ++_i207)
+            uint32_t _size249;
+            ::apache::thrift::protocol::TType _etype252;
+            xfer += iprot->readListBegin(_etype252, _size249);
+            this->customers.resize(_size249);
+            uint32_t _i253;
+            for (_i253 = 0; _i253 < _size249; ++_i253)
             {
-              xfer += this->customers[_i207].read(iprot);
+              xfer += this->customers[_i253].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6735,14 +7618,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->crashes.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            this->crashes.resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
             {
-              xfer += this->crashes[_i212].read(iprot);
+              xfer += this->crashes[_i258].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6803,14 +7686,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relayed.clear();
-            uint32_t _size213;
-            ::apache::thrift::protocol::TType _etype216;
-            xfer += iprot->readListBegin(_etype216, _size213);
-            this->relayed.resize(_size213);
-            uint32_t _i217;
-            for (_i217 = 0; _i217 < _size213; ++_i217)
+            uint32_t _size259;
+            ::apache::thrift::protocol::TType _etype262;
+            xfer += iprot->readListBegin(_etype262, _size259);
+            this->relayed.resize(_size259);
+            uint32_t _i263;
+            for (_i263 = 0; _i263 < _size259; ++_i263)
             {
-              xfer += iprot->readBinary(this->relayed[_i217]);
+              xfer += iprot->readBinary(this->relayed[_i263]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6823,14 +7706,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->heard.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            this->heard.resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
             {
-              xfer += iprot->readI64(this->heard[_i222]);
+              xfer += iprot->readI64(this->heard[_i268]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6843,14 +7726,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_victims.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->crash_victims.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size269;
+            ::apache::thrift::protocol::TType _etype272;
+            xfer += iprot->readListBegin(_etype272, _size269);
+            this->crash_victims.resize(_size269);
+            uint32_t _i273;
+            for (_i273 = 0; _i273 < _size269; ++_i273)
             {
-              xfer += this->crash_victims[_i227].read(iprot);
+              xfer += this->crash_victims[_i273].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6863,14 +7746,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->segment_responses.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->segment_responses.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->segment_responses.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
             {
-              xfer += this->segment_responses[_i232].read(iprot);
+              xfer += this->segment_responses[_i278].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6883,14 +7766,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined_segments.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->quarantined_segments.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size279;
+            ::apache::thrift::protocol::TType _etype282;
+            xfer += iprot->readListBegin(_etype282, _size279);
+            this->quarantined_segments.resize(_size279);
+            uint32_t _i283;
+            for (_i283 = 0; _i283 < _size279; ++_i283)
             {
-              xfer += this->quarantined_segments[_i237].read(iprot);
+              xfer += this->quarantined_segments[_i283].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6935,14 +7818,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined_requests.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->quarantined_requests.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size284;
+            ::apache::thrift::protocol::TType _etype287;
+            xfer += iprot->readListBegin(_etype287, _size284);
+            this->quarantined_requests.resize(_size284);
+            uint32_t _i288;
+            for (_i288 = 0; _i288 < _size284; ++_i288)
             {
-              xfer += this->quarantined_requests[_i242].read(iprot);
+              xfer += this->quarantined_requests[_i288].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6955,14 +7838,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->request_responses.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->request_responses.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size289;
+            ::apache::thrift::protocol::TType _etype292;
+            xfer += iprot->readListBegin(_etype292, _size289);
+            this->request_responses.resize(_size289);
+            uint32_t _i293;
+            for (_i293 = 0; _i293 < _size289; ++_i293)
             {
-              xfer += this->request_responses[_i247].read(iprot);
+              xfer += this->request_responses[_i293].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6971,6 +7854,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rollouts.clear();
+            uint32_t _size294;
+            ::apache::thrift::protocol::TType _etype297;
+            xfer += iprot->readListBegin(_etype297, _size294);
+            this->rollouts.resize(_size294);
+            uint32_t _i298;
+            for (_i298 = 0; _i298 < _size294; ++_i298)
+            {
+              xfer += this->rollouts[_i298].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rollouts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7011,10 +7914,10 @@
     xfer += oprot->writeFieldBegin("known_peers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known_peers.size()));
-      std::vector<std::string> ::const_iterator _iter248;
-      for (_iter248 = this->known_peers.begin(); _iter248 != this->known_peers.end(); ++_iter248)
+      std::vector<std::string> ::const_iterator _iter299;
+      for (_iter299 = this->known_peers.begin(); _iter299 != this->known_peers.end(); ++_iter299)
       {
-        xfer += oprot->writeString((*_iter248));
+        xfer += oprot->writeString((*_iter299));
       }
       xfer += oprot->writeListEnd();
     }
@@ -7024,10 +7927,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-      std::vector<EngineLoadReport> ::const_iterator _iter249;
-      for (_iter249 = this->engines.begin(); _iter249 != this->engines.end(); ++_iter249)
+      std::vector<EngineLoadReport> ::const_iterator _iter300;
+      for (_iter300 = this->engines.begin(); _iter300 != this->engines.end(); ++_iter300)
       {
-        xfer += (*_iter249).write(oprot);
+        xfer += (*_iter300).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7037,10 +7940,10 @@
     xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-      std::vector<PromptPartReport> ::const_iterator _iter250;
-      for (_iter250 = this->parts.begin(); _iter250 != this->parts.end(); ++_iter250)
+      std::vector<PromptPartReport> ::const_iterator _iter301;
+      for (_iter301 = this->parts.begin(); _iter301 != this->parts.end(); ++_iter301)
       {
-        xfer += (*_iter250).write(oprot);
+        xfer += (*_iter301).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7050,10 +7953,10 @@
     xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-      std::vector<CustomerShareReport> ::const_iterator _iter251;
-      for (_iter251 = this->customers.begin(); _iter251 != this->customers.end(); ++_iter251)
+      std::vector<CustomerShareReport> ::const_iterator _iter302;
+      for (_iter302 = this->customers.begin(); _iter302 != this->customers.end(); ++_iter302)
       {
-        xfer += (*_iter251).write(oprot);
+        xfer += (*_iter302).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7063,10 +7966,10 @@
     xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-      std::vector<CrashReport> ::const_iterator _iter252;
-      for (_iter252 = this->crashes.begin(); _iter252 != this->crashes.end(); ++_iter252)
+      std::vector<CrashReport> ::const_iterator _iter303;
+      for (_iter303 = this->crashes.begin(); _iter303 != this->crashes.end(); ++_iter303)
       {
-        xfer += (*_iter252).write(oprot);
+        xfer += (*_iter303).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7105,10 +8008,10 @@
     xfer += oprot->writeFieldBegin("relayed", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relayed.size()));
-      std::vector<std::string> ::const_iterator _iter253;
-      for (_iter253 = this->relayed.begin(); _iter253 != this->relayed.end(); ++_iter253)
+      std::vector<std::string> ::const_iterator _iter304;
+      for (_iter304 = this->relayed.begin(); _iter304 != this->relayed.end(); ++_iter304)
       {
-        xfer += oprot->writeBinary((*_iter253));
+        xfer += oprot->writeBinary((*_iter304));
       }
       xfer += oprot->writeListEnd();
     }
@@ -7118,10 +8021,10 @@
     xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heard.size()));
-      std::vector<int64_t> ::const_iterator _iter254;
-      for (_iter254 = this->heard.begin(); _iter254 != this->heard.end(); ++_iter254)
+      std::vector<int64_t> ::const_iterator _iter305;
+      for (_iter305 = this->heard.begin(); _iter305 != this->heard.end(); ++_iter305)
       {
-        xfer += oprot->writeI64((*_iter254));
+        xfer += oprot->writeI64((*_iter305));
       }
       xfer += oprot->writeListEnd();
     }
@@ -7131,10 +8034,10 @@
     xfer += oprot->writeFieldBegin("crash_victims", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crash_victims.size()));
-      std::vector<CrashVictimReport> ::const_iterator _iter255;
-      for (_iter255 = this->crash_victims.begin(); _iter255 != this->crash_victims.end(); ++_iter255)
+      std::vector<CrashVictimReport> ::const_iterator _iter306;
+      for (_iter306 = this->crash_victims.begin(); _iter306 != this->crash_victims.end(); ++_iter306)
       {
-        xfer += (*_iter255).write(oprot);
+        xfer += (*_iter306).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7144,10 +8047,10 @@
     xfer += oprot->writeFieldBegin("segment_responses", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->segment_responses.size()));
-      std::vector<SegmentEventReport> ::const_iterator _iter256;
-      for (_iter256 = this->segment_responses.begin(); _iter256 != this->segment_responses.end(); ++_iter256)
+      std::vector<SegmentEventReport> ::const_iterator _iter307;
+      for (_iter307 = this->segment_responses.begin(); _iter307 != this->segment_responses.end(); ++_iter307)
       {
-        xfer += (*_iter256).write(oprot);
+        xfer += (*_iter307).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7157,10 +8060,10 @@
     xfer += oprot->writeFieldBegin("quarantined_segments", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined_segments.size()));
-      std::vector<QuarantinedSegmentReport> ::const_iterator _iter257;
-      for (_iter257 = this->quarantined_segments.begin(); _iter257 != this->quarantined_segments.end(); ++_iter257)
+      std::vector<QuarantinedSegmentReport> ::const_iterator _iter308;
+      for (_iter308 = this->quarantined_segments.begin(); _iter308 != this->quarantined_segments.end(); ++_iter308)
       {
-        xfer += (*_iter257).write(oprot);
+        xfer += (*_iter308).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7190,10 +8093,10 @@
     xfer += oprot->writeFieldBegin("quarantined_requests", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined_requests.size()));
-      std::vector<QuarantinedRequestReport> ::const_iterator _iter258;
-      for (_iter258 = this->quarantined_requests.begin(); _iter258 != this->quarantined_requests.end(); ++_iter258)
+      std::vector<QuarantinedRequestReport> ::const_iterator _iter309;
+      for (_iter309 = this->quarantined_requests.begin(); _iter309 != this->quarantined_requests.end(); ++_iter309)
       {
-        xfer += (*_iter258).write(oprot);
+        xfer += (*_iter309).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7203,10 +8106,23 @@
     xfer += oprot->writeFieldBegin("request_responses", ::apache::thrift::protocol::T_LIST, 26);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->request_responses.size()));
-      std::vector<RequestResponseReport> ::const_iterator _iter259;
-      for (_iter259 = this->request_responses.begin(); _iter259 != this->request_responses.end(); ++_iter259)
+      std::vector<RequestResponseReport> ::const_iterator _iter310;
+      for (_iter310 = this->request_responses.begin(); _iter310 != this->request_responses.end(); ++_iter310)
+      {
+        xfer += (*_iter310).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rollouts) {
+    xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 40);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
+      std::vector<RolloutReport> ::const_iterator _iter311;
+      for (_iter311 = this->rollouts.begin(); _iter311 != this->rollouts.end(); ++_iter311)
       {
-        xfer += (*_iter259).write(oprot);
+        xfer += (*_iter311).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7245,125 +8161,130 @@
   swap(a.held_evacuations, b.held_evacuations);
   swap(a.quarantined_requests, b.quarantined_requests);
   swap(a.request_responses, b.request_responses);
+  swap(a.rollouts, b.rollouts);
   swap(a.__isset, b.__isset);
 }
 
-GatewayReport::GatewayReport(const GatewayReport& other260) {
-  incarnation = other260.incarnation;
-  operator_offset = other260.operator_offset;
-  servers_offset = other260.servers_offset;
-  leaving = other260.leaving;
-  known_peers = other260.known_peers;
-  engines = other260.engines;
-  parts = other260.parts;
-  customers = other260.customers;
-  crashes = other260.crashes;
-  store_steady_ms = other260.store_steady_ms;
-  address = other260.address;
-  zone = other260.zone;
-  cpu_cores = other260.cpu_cores;
-  number = other260.number;
-  wants_relay = other260.wants_relay;
-  relayed = other260.relayed;
-  heard = other260.heard;
-  crash_victims = other260.crash_victims;
-  segment_responses = other260.segment_responses;
-  quarantined_segments = other260.quarantined_segments;
-  operator_generation = other260.operator_generation;
-  servers_generation = other260.servers_generation;
-  configuration_version = other260.configuration_version;
-  held_evacuations = other260.held_evacuations;
-  quarantined_requests = other260.quarantined_requests;
-  request_responses = other260.request_responses;
-  __isset = other260.__isset;
-}
-GatewayReport::GatewayReport(GatewayReport&& other261) noexcept {
-  incarnation = other261.incarnation;
-  operator_offset = other261.operator_offset;
-  servers_offset = other261.servers_offset;
-  leaving = other261.leaving;
-  known_peers = std::move(other261.known_peers);
-  engines = std::move(other261.engines);
-  parts = std::move(other261.parts);
-  customers = std::move(other261.customers);
-  crashes = std::move(other261.crashes);
-  store_steady_ms = other261.store_steady_ms;
-  address = std::move(other261.address);
-  zone = std::move(other261.zone);
-  cpu_cores = other261.cpu_cores;
-  number = other261.number;
-  wants_relay = other261.wants_relay;
-  relayed = std::move(other261.relayed);
-  heard = std::move(other261.heard);
-  crash_victims = std::move(other261.crash_victims);
-  segment_responses = std::move(other261.segment_responses);
-  quarantined_segments = std::move(other261.quarantined_segments);
-  operator_generation = other261.operator_generation;
-  servers_generation = other261.servers_generation;
-  configuration_version = other261.configuration_version;
-  held_evacuations = other261.held_evacuations;
-  quarantined_requests = std::move(other261.quarantined_requests);
-  request_responses = std::move(other261.request_responses);
-  __isset = other261.__isset;
-}
-GatewayReport& GatewayReport::operator=(const GatewayReport& other262) {
-  incarnation = other262.incarnation;
-  operator_offset = other262.operator_offset;
-  servers_offset = other262.servers_offset;
-  leaving = other262.leaving;
-  known_peers = other262.known_peers;
-  engines = other262.engines;
-  parts = other262.parts;
-  customers = other262.customers;
-  crashes = other262.crashes;
-  store_steady_ms = other262.store_steady_ms;
-  address = other262.address;
-  zone = other262.zone;
-  cpu_cores = other262.cpu_cores;
-  number = other262.number;
-  wants_relay = other262.wants_relay;
-  relayed = other262.relayed;
-  heard = other262.heard;
-  crash_victims = other262.crash_victims;
-  segment_responses = other262.segment_responses;
-  quarantined_segments = other262.quarantined_segments;
-  operator_generation = other262.operator_generation;
-  servers_generation = other262.servers_generation;
-  configuration_version = other262.configuration_version;
-  held_evacuations = other262.held_evacuations;
-  quarantined_requests = other262.quarantined_requests;
-  request_responses = other262.request_responses;
-  __isset = other262.__isset;
+GatewayReport::GatewayReport(const GatewayReport& other312) {
+  incarnation = other312.incarnation;
+  operator_offset = other312.operator_offset;
+  servers_offset = other312.servers_offset;
+  leaving = other312.leaving;
+  known_peers = other312.known_peers;
+  engines = other312.engines;
+  parts = other312.parts;
+  customers = other312.customers;
+  crashes = other312.crashes;
+  store_steady_ms = other312.store_steady_ms;
+  address = other312.address;
+  zone = other312.zone;
+  cpu_cores = other312.cpu_cores;
+  number = other312.number;
+  wants_relay = other312.wants_relay;
+  relayed = other312.relayed;
+  heard = other312.heard;
+  crash_victims = other312.crash_victims;
+  segment_responses = other312.segment_responses;
+  quarantined_segments = other312.quarantined_segments;
+  operator_generation = other312.operator_generation;
+  servers_generation = other312.servers_generation;
+  configuration_version = other312.configuration_version;
+  held_evacuations = other312.held_evacuations;
+  quarantined_requests = other312.quarantined_requests;
+  request_responses = other312.request_responses;
+  rollouts = other312.rollouts;
+  __isset = other312.__isset;
+}
+GatewayReport::GatewayReport(GatewayReport&& other313) noexcept {
+  incarnation = other313.incarnation;
+  operator_offset = other313.operator_offset;
+  servers_offset = other313.servers_offset;
+  leaving = other313.leaving;
+  known_peers = std::move(other313.known_peers);
+  engines = std::move(other313.engines);
+  parts = std::move(other313.parts);
+  customers = std::move(other313.customers);
+  crashes = std::move(other313.crashes);
+  store_steady_ms = other313.store_steady_ms;
+  address = std::move(other313.address);
+  zone = std::move(other313.zone);
+  cpu_cores = other313.cpu_cores;
+  number = other313.number;
+  wants_relay = other313.wants_relay;
+  relayed = std::move(other313.relayed);
+  heard = std::move(other313.heard);
+  crash_victims = std::move(other313.crash_victims);
+  segment_responses = std::move(other313.segment_responses);
+  quarantined_segments = std::move(other313.quarantined_segments);
+  operator_generation = other313.operator_generation;
+  servers_generation = other313.servers_generation;
+  configuration_version = other313.configuration_version;
+  held_evacuations = other313.held_evacuations;
+  quarantined_requests = std::move(other313.quarantined_requests);
+  request_responses = std::move(other313.request_responses);
+  rollouts = std::move(other313.rollouts);
+  __isset = other313.__isset;
+}
+GatewayReport& GatewayReport::operator=(const GatewayReport& other314) {
+  incarnation = other314.incarnation;
+  operator_offset = other314.operator_offset;
+  servers_offset = other314.servers_offset;
+  leaving = other314.leaving;
+  known_peers = other314.known_peers;
+  engines = other314.engines;
+  parts = other314.parts;
+  customers = other314.customers;
+  crashes = other314.crashes;
+  store_steady_ms = other314.store_steady_ms;
+  address = other314.address;
+  zone = other314.zone;
+  cpu_cores = other314.cpu_cores;
+  number = other314.number;
+  wants_relay = other314.wants_relay;
+  relayed = other314.relayed;
+  heard = other314.heard;
+  crash_victims = other314.crash_victims;
+  segment_responses = other314.segment_responses;
+  quarantined_segments = other314.quarantined_segments;
+  operator_generation = other314.operator_generation;
+  servers_generation = other314.servers_generation;
+  configuration_version = other314.configuration_version;
+  held_evacuations = other314.held_evacuations;
+  quarantined_requests = other314.quarantined_requests;
+  request_responses = other314.request_responses;
+  rollouts = other314.rollouts;
+  __isset = other314.__isset;
   return *this;
 }
-GatewayReport& GatewayReport::operator=(GatewayReport&& other263) noexcept {
-  incarnation = other263.incarnation;
-  operator_offset = other263.operator_offset;
-  servers_offset = other263.servers_offset;
-  leaving = other263.leaving;
-  known_peers = std::move(other263.known_peers);
-  engines = std::move(other263.engines);
-  parts = std::move(other263.parts);
-  customers = std::move(other263.customers);
-  crashes = std::move(other263.crashes);
-  store_steady_ms = other263.store_steady_ms;
-  address = std::move(other263.address);
-  zone = std::move(other263.zone);
-  cpu_cores = other263.cpu_cores;
-  number = other263.number;
-  wants_relay = other263.wants_relay;
-  relayed = std::move(other263.relayed);
-  heard = std::move(other263.heard);
-  crash_victims = std::move(other263.crash_victims);
-  segment_responses = std::move(other263.segment_responses);
-  quarantined_segments = std::move(other263.quarantined_segments);
-  operator_generation = other263.operator_generation;
-  servers_generation = other263.servers_generation;
-  configuration_version = other263.configuration_version;
-  held_evacuations = other263.held_evacuations;
-  quarantined_requests = std::move(other263.quarantined_requests);
-  request_responses = std::move(other263.request_responses);
-  __isset = other263.__isset;
+GatewayReport& GatewayReport::operator=(GatewayReport&& other315) noexcept {
+  incarnation = other315.incarnation;
+  operator_offset = other315.operator_offset;
+  servers_offset = other315.servers_offset;
+  leaving = other315.leaving;
+  known_peers = std::move(other315.known_peers);
+  engines = std::move(other315.engines);
+  parts = std::move(other315.parts);
+  customers = std::move(other315.customers);
+  crashes = std::move(other315.crashes);
+  store_steady_ms = other315.store_steady_ms;
+  address = std::move(other315.address);
+  zone = std::move(other315.zone);
+  cpu_cores = other315.cpu_cores;
+  number = other315.number;
+  wants_relay = other315.wants_relay;
+  relayed = std::move(other315.relayed);
+  heard = std::move(other315.heard);
+  crash_victims = std::move(other315.crash_victims);
+  segment_responses = std::move(other315.segment_responses);
+  quarantined_segments = std::move(other315.quarantined_segments);
+  operator_generation = other315.operator_generation;
+  servers_generation = other315.servers_generation;
+  configuration_version = other315.configuration_version;
+  held_evacuations = other315.held_evacuations;
+  quarantined_requests = std::move(other315.quarantined_requests);
+  request_responses = std::move(other315.request_responses);
+  rollouts = std::move(other315.rollouts);
+  __isset = other315.__isset;
   return *this;
 }
 void GatewayReport::printTo(std::ostream& out) const {
@@ -7395,6 +8316,7 @@
   out << ", " << "held_evacuations="; (__isset.held_evacuations ? (out << to_string(held_evacuations)) : (out << "<null>"));
   out << ", " << "quarantined_requests="; (__isset.quarantined_requests ? (out << to_string(quarantined_requests)) : (out << "<null>"));
   out << ", " << "request_responses="; (__isset.request_responses ? (out << to_string(request_responses)) : (out << "<null>"));
+  out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/lagoonwind_types.h
+++ b/packages/wire/gen/lagoonwind_types.h
@@ -97,6 +97,14 @@
 
 class QuarantinedSegmentReport;
 
+class RolloutCountsReport;
+
+class RolloutRouteReport;
+
+class RolloutSecondReport;
+
+class RolloutReport;
+
 class GatewayReport;
 
 typedef struct _Attempt__isset {
@@ -2594,8 +2602,300 @@
 
 std::ostream& operator<<(std::ostream& out, const QuarantinedSegmentReport& obj);
 
+typedef struct _RolloutCountsReport__isset {
+  _RolloutCountsReport__isset() : responses(false), failures(false), first_byte(false), total(false) {}
+  bool responses :1;
+  bool failures :1;
+  bool first_byte :1;
+  bool total :1;
+} _RolloutCountsReport__isset;
+
+class RolloutCountsReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutCountsReport(const RolloutCountsReport&);
+  RolloutCountsReport(RolloutCountsReport&&) noexcept;
+  RolloutCountsReport& operator=(const RolloutCountsReport&);
+  RolloutCountsReport& operator=(RolloutCountsReport&&) noexcept;
+  RolloutCountsReport() noexcept
+                      : responses(0),
+                        failures(0) {
+  }
+
+  virtual ~RolloutCountsReport() noexcept;
+  int32_t responses;
+  int32_t failures;
+  std::vector<int32_t>  first_byte;
+  std::vector<int32_t>  total;
+
+  _RolloutCountsReport__isset __isset;
+
+  void __set_responses(const int32_t val);
+
+  void __set_failures(const int32_t val);
+
+  void __set_first_byte(const std::vector<int32_t> & val);
+
+  void __set_total(const std::vector<int32_t> & val);
+
+  bool operator == (const RolloutCountsReport & rhs) const
+  {
+    if (!(responses == rhs.responses))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(first_byte == rhs.first_byte))
+      return false;
+    if (!(total == rhs.total))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutCountsReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutCountsReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutCountsReport &a, RolloutCountsReport &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutCountsReport& obj);
+
+typedef struct _RolloutRouteReport__isset {
+  _RolloutRouteReport__isset() : route(false), old_version(false), target_version(false) {}
+  bool route :1;
+  bool old_version :1;
+  bool target_version :1;
+} _RolloutRouteReport__isset;
+
+class RolloutRouteReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutRouteReport(const RolloutRouteReport&);
+  RolloutRouteReport(RolloutRouteReport&&) noexcept;
+  RolloutRouteReport& operator=(const RolloutRouteReport&);
+  RolloutRouteReport& operator=(RolloutRouteReport&&) noexcept;
+  RolloutRouteReport() noexcept
+                     : route(0) {
+  }
+
+  virtual ~RolloutRouteReport() noexcept;
+  int64_t route;
+  RolloutCountsReport old_version;
+  RolloutCountsReport target_version;
+
+  _RolloutRouteReport__isset __isset;
+
+  void __set_route(const int64_t val);
+
+  void __set_old_version(const RolloutCountsReport& val);
+
+  void __set_target_version(const RolloutCountsReport& val);
+
+  bool operator == (const RolloutRouteReport & rhs) const
+  {
+    if (!(route == rhs.route))
+      return false;
+    if (!(old_version == rhs.old_version))
+      return false;
+    if (!(target_version == rhs.target_version))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutRouteReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutRouteReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutRouteReport &a, RolloutRouteReport &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutRouteReport& obj);
+
+typedef struct _RolloutSecondReport__isset {
+  _RolloutSecondReport__isset() : second(false), counts(false) {}
+  bool second :1;
+  bool counts :1;
+} _RolloutSecondReport__isset;
+
+class RolloutSecondReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutSecondReport(const RolloutSecondReport&);
+  RolloutSecondReport(RolloutSecondReport&&) noexcept;
+  RolloutSecondReport& operator=(const RolloutSecondReport&);
+  RolloutSecondReport& operator=(RolloutSecondReport&&) noexcept;
+  RolloutSecondReport() noexcept
+                      : second(0) {
+  }
+
+  virtual ~RolloutSecondReport() noexcept;
+  int32_t second;
+  std::vector<int32_t>  counts;
+
+  _RolloutSecondReport__isset __isset;
+
+  void __set_second(const int32_t val);
+
+  void __set_counts(const std::vector<int32_t> & val);
+
+  bool operator == (const RolloutSecondReport & rhs) const
+  {
+    if (!(second == rhs.second))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutSecondReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutSecondReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutSecondReport &a, RolloutSecondReport &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutSecondReport& obj);
+
+typedef struct _RolloutReport__isset {
+  _RolloutReport__isset() : order(false), state(false), elapsed_ms(false), requests(false), sent_old(false), sent_target(false), outstanding_old(false), outstanding_target(false), left_old(false), longest_old_ms(false), routes(false), seconds(false) {}
+  bool order :1;
+  bool state :1;
+  bool elapsed_ms :1;
+  bool requests :1;
+  bool sent_old :1;
+  bool sent_target :1;
+  bool outstanding_old :1;
+  bool outstanding_target :1;
+  bool left_old :1;
+  bool longest_old_ms :1;
+  bool routes :1;
+  bool seconds :1;
+} _RolloutReport__isset;
+
+class RolloutReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutReport(const RolloutReport&);
+  RolloutReport(RolloutReport&&) noexcept;
+  RolloutReport& operator=(const RolloutReport&);
+  RolloutReport& operator=(RolloutReport&&) noexcept;
+  RolloutReport() noexcept
+                : order(0),
+                  state(0),
+                  elapsed_ms(0),
+                  requests(0),
+                  sent_old(0),
+                  sent_target(0),
+                  outstanding_old(0),
+                  outstanding_target(0),
+                  left_old(0),
+                  longest_old_ms(0) {
+  }
+
+  virtual ~RolloutReport() noexcept;
+  int64_t order;
+  int32_t state;
+  int64_t elapsed_ms;
+  int64_t requests;
+  int64_t sent_old;
+  int64_t sent_target;
+  int32_t outstanding_old;
+  int32_t outstanding_target;
+  bool left_old;
+  int64_t longest_old_ms;
+  std::vector<RolloutRouteReport>  routes;
+  std::vector<RolloutSecondReport>  seconds;
+
+  _RolloutReport__isset __isset;
+
+  void __set_order(const int64_t val);
+
+  void __set_state(const int32_t val);
+
+  void __set_elapsed_ms(const int64_t val);
+
+  void __set_requests(const int64_t val);
+
+  void __set_sent_old(const int64_t val);
+
+  void __set_sent_target(const int64_t val);
+
+  void __set_outstanding_old(const int32_t val);
+
+  void __set_outstanding_target(const int32_t val);
+
+  void __set_left_old(const bool val);
+
+  void __set_longest_old_ms(const int64_t val);
+
+  void __set_routes(const std::vector<RolloutRouteReport> & val);
+
+  void __set_seconds(const std::vector<RolloutSecondReport> & val);
+
+  bool operator == (const RolloutReport & rhs) const
+  {
+    if (!(order == rhs.order))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(elapsed_ms == rhs.elapsed_ms))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(sent_old == rhs.sent_old))
+      return false;
+    if (!(sent_target == rhs.sent_target))
+      return false;
+    if (!(outstanding_old == rhs.outstanding_old))
+      return false;
+    if (!(outstanding_target == rhs.outstanding_target))
+      return false;
+    if (!(left_old == rhs.left_old))
+      return false;
+    if (!(longest_old_ms == rhs.longest_old_ms))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(seconds == rhs.seconds))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutReport &a, RolloutReport &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutReport& obj);
+
 typedef struct _GatewayReport__isset {
-  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false), store_steady_ms(false), address(false), zone(false), cpu_cores(false), number(false), wants_relay(false), relayed(false), heard(false), crash_victims(false), segment_responses(false), quarantined_segments(false), operator_generation(false), servers_generation(false), configuration_version(false), held_evacuations(false), quarantined_requests(false), request_responses(false) {}
+  _GatewayReport__isset() : incarnation(false), operator_offset(false), servers_offset(false), leaving(false), known_peers(false), engines(false), parts(false), customers(false), crashes(false), store_steady_ms(false), address(false), zone(false), cpu_cores(false), number(false), wants_relay(false), relayed(false), heard(false), crash_victims(false), segment_responses(false), quarantined_segments(false), operator_generation(false), servers_generation(false), configuration_version(false), held_evacuations(false), quarantined_requests(false), request_responses(false), rollouts(false) {}
   bool incarnation :1;
   bool operator_offset :1;
   bool servers_offset :1;
@@ -2622,6 +2922,7 @@
   bool held_evacuations :1;
   bool quarantined_requests :1;
   bool request_responses :1;
+  bool rollouts :1;
 } _GatewayReport__isset;
 
 class GatewayReport : public virtual ::apache::thrift::TBase {
@@ -2675,6 +2976,7 @@
   int64_t held_evacuations;
   std::vector<QuarantinedRequestReport>  quarantined_requests;
   std::vector<RequestResponseReport>  request_responses;
+  std::vector<RolloutReport>  rollouts;
 
   _GatewayReport__isset __isset;
 
@@ -2730,6 +3032,8 @@
 
   void __set_request_responses(const std::vector<RequestResponseReport> & val);
 
+  void __set_rollouts(const std::vector<RolloutReport> & val);
+
   bool operator == (const GatewayReport & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -2832,6 +3136,10 @@
       return false;
     else if (__isset.request_responses && !(request_responses == rhs.request_responses))
       return false;
+    if (__isset.rollouts != rhs.__isset.rollouts)
+      return false;
+    else if (__isset.rollouts && !(rollouts == rhs.rollouts))
+      return false;
     return true;
   }
   bool operator != (const GatewayReport &rhs) const {
--- a/packages/wire/idl/lagoonwind.thrift
+++ b/packages/wire/idl/lagoonwind.thrift
@@ -303,6 +303,46 @@
   3: optional i32 trials
 }
 
+// Responses of one version on one route. Histograms end at their last class that is not zero.
+struct RolloutCountsReport {
+  1: i32 responses
+  2: i32 failures
+  3: list<i32> first_byte
+  4: list<i32> total
+}
+
+struct RolloutRouteReport {
+  1: i64 route
+  // Of the old and the target version.
+  2: RolloutCountsReport old_version
+  3: RolloutCountsReport target_version
+}
+
+// Responses that ended in one second since the order.
+struct RolloutSecondReport {
+  1: i32 second
+  // Responses, failures and slow responses, each of the old and the target version.
+  2: list<i32> counts
+}
+
+// What one gateway has seen of one roll-out since its start.
+struct RolloutReport {
+  1: i64 order
+  2: i32 state
+  // Time since the order.
+  3: i64 elapsed_ms
+  4: i64 requests
+  // Attempts, and those that have not ended, of the old and the target version.
+  5: i64 sent_old
+  6: i64 sent_target
+  7: i32 outstanding_old
+  8: i32 outstanding_target
+  9: bool left_old
+  10: i64 longest_old_ms
+  11: list<RolloutRouteReport> routes
+  12: list<RolloutSecondReport> seconds
+}
+
 // Datagram that gateways send each other.
 struct GatewayReport {
   1: i64 incarnation
@@ -346,4 +386,6 @@
   25: optional list<QuarantinedRequestReport> quarantined_requests
   // Responses that clear requests of suspicion.
   26: optional list<RequestResponseReport> request_responses
+  // All roll-outs in progress; left out of most reports.
+  40: optional list<RolloutReport> rollouts
 }
--- a/packages/wire/include/lagoonwind/gateway_report.h
+++ b/packages/wire/include/lagoonwind/gateway_report.h
@@ -13,6 +13,7 @@
 #include "lagoonwind/customer_share.h"
 #include "lagoonwind/engine_load.h"
 #include "lagoonwind/report_router.h"
+#include "lagoonwind/rollout_types.h"
 #include "lagoonwind/segment_quarantine.h"
 
 /// \file
@@ -130,6 +131,8 @@
   std::vector<QuarantinedRequestReport> quarantined_requests;
   /// Recent responses that clear requests of the suspicion that they crash backend servers.
   std::vector<RequestResponseReport> request_responses;
+  /// Roll-outs in progress at the sender; empty in most reports.
+  std::vector<policy::RolloutReport> rollouts;
 };
 
 /// Encodes a report with the Thrift compact protocol. Thread safe.
--- a/packages/wire/src/gateway_report.cc
+++ b/packages/wire/src/gateway_report.cc
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include "lagoonwind_types.h"
+#include "rollout_report.h"
 
 namespace lagoonwind::wire {
 namespace {
@@ -194,7 +195,8 @@
          std::ranges::all_of(report.request_responses, has_age) &&
          std::ranges::all_of(report.segment_responses, has_age) &&
          std::ranges::all_of(report.quarantined_segments, has_age) &&
-         std::ranges::all_of(report.quarantined_segments, has_trials);
+         std::ranges::all_of(report.quarantined_segments, has_trials) &&
+         std::ranges::all_of(report.rollouts, IsPlausibleRollout);
 }
 
 template <class Out, class In>
@@ -278,6 +280,8 @@
   out.__isset.quarantined_requests = !out.quarantined_requests.empty();
   out.request_responses = ListToWire<gen::RequestResponseReport>(report.request_responses);
   out.__isset.request_responses = !out.request_responses.empty();
+  out.rollouts = TransformAll<gen::RolloutReport>(report.rollouts, RolloutToWire);
+  out.__isset.rollouts = !out.rollouts.empty();
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
   out.write(&protocol);
@@ -319,7 +323,8 @@
       .segment_responses = ListFromWire<SegmentEventReport>(in.segment_responses),
       .quarantined_segments = std::move(quarantined_segments),
       .quarantined_requests = ListFromWire<QuarantinedRequestReport>(in.quarantined_requests),
-      .request_responses = ListFromWire<RequestResponseReport>(in.request_responses)};
+      .request_responses = ListFromWire<RequestResponseReport>(in.request_responses),
+      .rollouts = TransformAll<policy::RolloutReport>(in.rollouts, RolloutFromWire)};
 }
 
 }  // namespace lagoonwind::wire
--- a/tests/end_to_end/rollout_test.cc
+++ b/tests/end_to_end/rollout_test.cc
@@ -1,12 +1,13 @@
 // Guards against roll-outs that expose callers to a version on trial, lose requests, or change what
 // is served where no roll-out was ordered.
-#include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 
 #include "caller.h"
 #include "platform_world.h"
@@ -52,6 +53,19 @@
                                [&](const auto& received) { return received.server == server; });
 }
 
+/// Sends requests to two gateways until the status has this state or the order's deadline has
+/// passed. Each must succeed. \return Their number.
+int SendUntil(const PlatformWorld& world, const std::string& state) {
+  int sent = 0;
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(25);
+  while (StatusField(world, "state") != state && std::chrono::steady_clock::now() < end) {
+    CHECK(Look(1 + sent % 2, absl::StrCat("s", sent)) == 200);
+    ++sent;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return sent;
+}
+
 }  // namespace
 
 TEST_CASE("an order is confirmed as serving, once, and new servers receive no requests at first") {
@@ -73,6 +87,45 @@
   CHECK(StatusRecords(world) == 1);
 }
 
+TEST_CASE("a good version receives all requests, and complete is written once") {
+  PlatformWorld world;
+  world.EnableRollouts();
+  world.Configure(1);
+  AddServer(world, "old", "v1");
+  world.StartGateway(1);
+  world.StartGateway(2);
+  AddServer(world, "new", "v2");
+  world.Put("keyed.op", kOrderKey, kOrder);
+  const int sent = SendUntil(world, "complete");
+  REQUIRE(StatusField(world, "state") == "complete");
+  CHECK(StatusRecords(world) == 2);
+  world.SetMode("old", testing::ServerMode::kHang);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Look(1 + i % 2, absl::StrCat("after", i)) == 200);
+  }
+  CHECK(RequestsAt(world, "old") + RequestsAt(world, "new") == sent + 20);
+}
+
+TEST_CASE("a version whose responses all fail is reverted, and few requests reach it") {
+  PlatformWorld world;
+  world.EnableRollouts();
+  world.Configure(1);
+  AddServer(world, "old", "v1");
+  world.StartGateway(1);
+  world.StartGateway(2);
+  AddServer(world, "new", "v2");
+  world.SetMode("new", testing::ServerMode::kFail);
+  world.Put("keyed.op", kOrderKey, kOrder);
+  const int sent = SendUntil(world, "reverted");
+  REQUIRE(StatusField(world, "state") == "reverted");
+  CHECK(static_cast<double>(RequestsAt(world, "new")) <= 0.1 * sent + 50);
+  const auto exposed = RequestsAt(world, "new");
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Look(1 + i % 2, absl::StrCat("after", i)) == 200);
+  }
+  CHECK(RequestsAt(world, "new") == exposed);
+}
+
 TEST_CASE("without roll-outs in the settings an order changes nothing") {
   PlatformWorld world;
   world.Configure(1);
