--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -91,6 +91,7 @@
   context_.pace.RecordSent(server_id);
   BackendPool::Connection connection = context_.pool.Acquire(server_id);
   AttemptResult result = AttemptResult::kNotSent;
+  const Time last_sent = sent_at_;
   if (connection == nullptr) {
     auto opened = co_await context_.pool.Open(server.address);
     if (opened.ok()) {
@@ -119,6 +120,9 @@
                  : co_await AttemptOnConnection(std::move(connection), server);
   }
   connection_ = nullptr;
+  if (attempts_ == 1 && version_ == policy::RolloutVersion::kTarget && sent_at_ == last_sent) {
+    context_.rollouts.CancelChoice(service_, Now());
+  }
   --context_.outstanding[server_id];
   if (prompt) {
     context_.load.RecordEnd(server_id, load_request_number_, Now());
@@ -139,6 +143,8 @@
                                 : true;
                    });
   sent_at_ = Now();
+  context_.rollouts.RecordSent(service_, server.version, sent_at_);
+  attempt_first_byte_.reset();
   response_begun_ = false;
   event_reads_ = 0;
   ended_in_order_ = false;
@@ -150,6 +156,7 @@
                                   accepted_.request.prompt->input_tokens, sent_at_);
   }
   const AttemptResult result = co_await ReceiveResponse(call, server);
+  RecordVersionOutcome(server, result);
   if (result == AttemptResult::kNotExecuted) {
     --unresolved_attempts_;
   }
@@ -305,6 +312,7 @@
   }
   response_begun_ = true;
   const Time now = Now();
+  attempt_first_byte_ = now - sent_at_;
   const Duration expected = decision_.estimate.queueing_delay + decision_.estimate.prefill_time;
   context_.RecordPace(server,
                       {.expected = expected, .first_byte = now - sent_at_, .failed = failed}, now);
--- a/packages/gateway/src/gateway_context.h
+++ b/packages/gateway/src/gateway_context.h
@@ -26,6 +26,7 @@
 #include "quarantine_records.h"
 #include "report_filter.h"
 #include "report_window.h"
+#include "rollout_manager.h"
 
 namespace lagoonwind::gateway {
 
@@ -78,6 +79,7 @@
   policy::Dispatcher dispatcher;
   Peers peers;
   QuarantineRecords quarantine_records;
+  RolloutManager rollouts;
   /// Open connections of callers. Shared with them, as some are only destroyed with `io`.
   std::shared_ptr<SessionSet> sessions = std::make_shared<SessionSet>();
   /// Number of requests from this gateway that are outstanding at each backend server.
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -195,16 +195,14 @@
 }
 
 void PlatformWorld::Register(const Registration& registration) {
-  Put("keyed.servers", registration.name,
-      json{{"backend", registration.service},
-           {"addr", registration.address},
-           {"zone", registration.zone},
-           {"slots", 8},
-           {"state", registration.state},
-           {"cold_left_ms", 0},
-           {"seq", registration.sequence},
-           {"born", registration.born}}
-          .dump());
+  json record{{"backend", registration.service}, {"addr", registration.address},
+              {"zone", registration.zone},       {"slots", 8},
+              {"state", registration.state},     {"cold_left_ms", 0},
+              {"seq", registration.sequence},    {"born", registration.born}};
+  if (!registration.version.empty()) {
+    record["version"] = registration.version;
+  }
+  Put("keyed.servers", registration.name, record.dump());
 }
 
 void PlatformWorld::SetProcessingTime(milliseconds time) {
@@ -476,7 +474,7 @@
 
 Process& PlatformWorld::StartGateway(int number, bool await_ready) {
   const std::string ip = IpOf(number);
-  const json settings{
+  json settings{
       {"node_name", absl::StrCat("edge-", number)},
       {"zone", "z1"},
       {"ip", ip},
@@ -486,6 +484,9 @@
       {"limits", {{"ram_mb", memory_megabytes_}, {"cpu_share", 1}, {"max_fds", max_descriptors_}}},
       {"bounds", {{"grace_s", 4}, {"retry_ratio", 0.2}, {"retry_slack", 54}}},
       {"platform", {{"addr", store_address_}}}};
+  if (rollouts_enabled_) {
+    settings["bounds"].update({{"canary_share", 0.1}, {"canary_slack", 50}, {"rollback_ms", 5000}});
+  }
   const auto path = directory_ / absl::StrCat("node-", number, ".json");
   std::ofstream(path) << settings.dump();
   setenv("LAGOONWIND_BOOT", path.c_str(), 1);
