--- a/packages/policy/include/lagoonwind/rollout.h
+++ b/packages/policy/include/lagoonwind/rollout.h
@@ -125,10 +125,14 @@
   [[nodiscard]] std::string_view JudgeRecent() const;
   /// True if there is evidence and nothing in it points at a bad version.
   [[nodiscard]] bool SupportsSwitch() const;
+  /// True if the switch may start now, shortly before the next second since the order.
+  [[nodiscard]] bool LateInSecond(Time now) const;
   /// When kSwitching starts, as time since the order.
   [[nodiscard]] Duration SwitchTime() const;
   /// Shortest time in kSwitching, so that a version that fails under full load only is noticed.
   [[nodiscard]] Duration LeastSwitching() const;
+  /// Time in kSwitching during which a tenth of the new requests stays on old servers.
+  [[nodiscard]] Duration ControlTime() const;
   [[nodiscard]] bool LeftOld(Time now) const;
   [[nodiscard]] bool AllLeftOld(Time now) const;
   RolloutRouteCounts& LocalRoute(RouteId route);
--- a/packages/policy/include/lagoonwind/rollout_types.h
+++ b/packages/policy/include/lagoonwind/rollout_types.h
@@ -44,7 +44,9 @@
   kUnknown,
   /// The target receives attempts within the exposure budget.
   kTrial,
-  /// All new requests go to the target; attempts on old servers are ending.
+  /// New requests go to the target, apart from a tenth in the first moments, which old servers get
+  /// for
+  /// comparison; attempts on old servers are ending.
   kSwitching,
   /// The store holds the conclusion that the target serves all requests.
   kComplete,
--- a/packages/policy/src/rollout.cc
+++ b/packages/policy/src/rollout.cc
@@ -31,7 +31,7 @@
 /// Parts of the exposure share that a trial spends before and after the first evidence. The rest is
 /// left for kSwitching, in which the version may still turn out bad.
 constexpr double kFirstShare = 0.2;
-constexpr double kTrialShare = 0.4;
+constexpr double kTrialShare = 0.5;
 /// Part of the slack that a trial spends. The rest covers that gateways know different numbers of
 /// members.
 constexpr double kTrialSlack = 0.5;
@@ -39,6 +39,14 @@
 constexpr double kRoundingSlack = 25;
 /// Most requests of a gateway that try the target while there is allowance for it.
 constexpr double kTrialProbability = 0.3;
+/// Part of the new requests that stays on old servers at first in kSwitching, to compare both
+/// versions in the same seconds at nearly full load.
+constexpr double kControlShare = 0.1;
+/// Part of a second after which the switch may start, since the second in which it starts compares
+/// responses of different moments.
+constexpr Duration kLateInSecond = milliseconds(700);
+/// Orders shorter than this switch at any moment.
+constexpr Duration kShortOrder = seconds(5);
 constexpr std::uint64_t kRoundingSeed = 0x726f6c6c6f7574;
 
 double Clamp(double value, double most) {
@@ -119,6 +127,10 @@
   }
   switch (state_) {
     case RolloutState::kSwitching:
+      if (now - state_since_ < ControlTime() && random < kControlShare) {
+        return RolloutVersion::kOld;
+      }
+      break;
     case RolloutState::kComplete:
       break;
     case RolloutState::kTrial: {
@@ -296,14 +308,19 @@
   }
   if (servers_ && !had_old_servers_ && servers_->at(kTarget) > 0) {
     Enter(RolloutState::kSwitching, "no server of another version", now);
-  } else if (TargetUsable() && Elapsed(now) >= SwitchTime() && SupportsSwitch()) {
+  } else if (TargetUsable() && Elapsed(now) >= SwitchTime() && LateInSecond(now) &&
+             SupportsSwitch()) {
     Enter(RolloutState::kSwitching, "evidence supports the target", now);
   }
 }
 
+bool Rollout::LateInSecond(Time now) const {
+  return order_.duration < kShortOrder || Elapsed(now) % seconds(1) >= kLateInSecond;
+}
+
 bool Rollout::LeftOld(Time now) const {
-  return state_ == RolloutState::kSwitching && TargetUsable() && now - state_since_ >= kSettle &&
-         local_.outstanding.at(kOld) == 0;
+  return state_ == RolloutState::kSwitching && TargetUsable() &&
+         now - state_since_ >= ControlTime() + kSettle && local_.outstanding.at(kOld) == 0;
 }
 
 bool Rollout::AllLeftOld(Time now) const {
--- a/packages/policy/src/rollout_evidence.cc
+++ b/packages/policy/src/rollout_evidence.cc
@@ -19,9 +19,9 @@
 
 /// Probability below which a good version's result reverts the roll-out. The evidence is judged
 /// several times a second, so that it must be far below the error rate of a whole roll-out.
-constexpr double kFaultProbability = 1e-5;
+constexpr double kFaultProbability = 1e-4;
 /// Probability below which a result delays the switch until more responses have arrived.
-constexpr double kDoubtProbability = 0.01;
+constexpr double kDoubtProbability = 0.1;
 /// Bad responses that a verdict requires.
 constexpr std::uint64_t kLeastBad = 5;
 constexpr std::uint64_t kLeastDoubtful = 2;
@@ -32,10 +32,15 @@
 /// difference that matters.
 constexpr double kFailureFactor = 2;
 constexpr double kSlowExcess = 0.1;
+/// Slow responses come in groups, so that a difference must be less likely than one in failures.
+constexpr double kSlowThresholdFactor = 0.01;
 constexpr double kSlowSecondExcess = 0.3;
 /// Responses of the old version from which its times are compared.
 constexpr std::uint32_t kLeastReference = 20;
-constexpr std::uint32_t kLeastSecondReference = 5;
+constexpr std::uint32_t kLeastSecondReference = 3;
+/// Responses of the target to one of the old version up to which a second is compared. In seconds
+/// with fewer, the old version's responses are mainly long streams that are ending.
+constexpr std::uint32_t kMostPerReference = 20;
 /// Seconds of slow responses that show a bad version when the old one has no responses in them.
 constexpr int kLeastSlowSeconds = 3;
 /// Half of the 50 bad responses after which the rollback time starts.
@@ -49,6 +54,9 @@
 constexpr Duration kSwitchMargin = seconds(3);
 constexpr int kSwitchMarginParts = 5;
 constexpr Duration kLeastSwitching = milliseconds(1500);
+/// Longer responses count as this long.
+constexpr Duration kLongestResponse = std::chrono::hours(24);
+constexpr Duration kLongestControl = seconds(2);
 constexpr int kSwitchingParts = 6;
 
 /// Rate of an event with `count` of `total` responses, estimated high for small totals.
@@ -69,9 +77,10 @@
 }
 
 /// True if `slow` of `total` are more than a version with rate `rate` would show.
-bool SlowMore(std::uint64_t slow, std::uint64_t total, double rate, double threshold) {
-  return Ratio(slow, total) > rate + kSlowExcess &&
-         BinomialUpperTail(slow, total, rate) < threshold;
+bool SlowMore(std::uint64_t slow, std::uint64_t total, double rate, double excess,
+              double threshold) {
+  return Ratio(slow, total) > rate + excess &&
+         BinomialUpperTail(slow, total, rate) < threshold * kSlowThresholdFactor;
 }
 
 void AddHistogram(RolloutHistogram& sum, const RolloutHistogram& added) {
@@ -112,7 +121,8 @@
       longest_old_ = {Duration::zero(), longest_old_[0]};
       longest_since_ = now;
     }
-    longest_old_[0] = std::max(longest_old_[0], outcome.total.value_or(Duration::zero()));
+    longest_old_[0] = std::max(
+        longest_old_[0], std::min(outcome.total.value_or(Duration::zero()), kLongestResponse));
   }
   if (!outcome.judged) {
     return;
@@ -162,7 +172,8 @@
 
 void Rollout::AddTotals(const RolloutReport& report) {
   totals_.requests += report.requests;
-  totals_.longest_old = std::max(totals_.longest_old, report.longest_old);
+  totals_.longest_old =
+      std::max(totals_.longest_old, std::min(report.longest_old, kLongestResponse));
   for (const std::size_t version : {kOld, kTarget}) {
     totals_.sent.at(version) += report.sent.at(version);
   }
@@ -273,7 +284,7 @@
       const double slow_rate =
           UpperRate(RolloutSlow(old_times, middle), RolloutCount(old_times), kLeastSlowRate);
       return slow >= least &&
-             SlowMore(slow, RolloutCount(target_times), slow_rate, threshold / routes);
+             SlowMore(slow, RolloutCount(target_times), slow_rate, kSlowExcess, threshold / routes);
     };
     if (slower(old.first_byte, target.first_byte, median->second[0]) ||
         slower(old.total, target.total, median->second[1])) {
@@ -298,6 +309,12 @@
   const RolloutEvidence all = Evidence(last_call_);
   const double failure_rate = UpperRate(all.failures[kOld], all.responses[kOld], kLeastFailureRate);
   const double slow_rate = UpperRate(all.slow[kOld], all.responses[kOld], kLeastSlowRate);
+  const bool switching = state_ == RolloutState::kSwitching;
+  const double excess = switching ? kSlowSecondExcess : kSlowExcess;
+  // In the second in which the switch started, each version's responses are of different moments.
+  const auto switch_second =
+      std::chrono::duration_cast<seconds>(std::max(state_since_ - start_, Duration::zero()))
+          .count();
   // Responses of the target, bad ones among them, and bad ones that the old version would show.
   struct Comparison {
     std::uint64_t responses = 0;
@@ -310,11 +327,13 @@
   int slow_alone = 0;
   std::uint64_t slow_responses_alone = 0;
   for (const auto& [second, counts] : totals_.seconds) {
-    const auto& [old_responses, responses] = counts.responses;
+    const std::uint32_t old_responses = counts.responses[kOld];
+    const std::uint32_t responses = counts.responses[kTarget];
     if (responses == 0) {
       continue;
     }
-    const bool compared = old_responses >= kLeastSecondReference;
+    const bool compared = old_responses >= kLeastSecondReference &&
+                          responses <= std::uint64_t{old_responses} * kMostPerReference;
     const auto presume = [&](std::uint32_t old_bad, double rate, double least) {
       return responses *
              (compared ? std::max(rate, UpperRate(old_bad, old_responses, least)) : rate);
@@ -322,6 +341,9 @@
     failed.responses += responses;
     failed.bad += counts.failures[kTarget];
     failed.presumed += presume(counts.failures[kOld], failure_rate, kLeastFailureRate);
+    if (switching && second == switch_second) {
+      continue;
+    }
     if (compared) {
       slow.responses += responses;
       slow.bad += counts.slow[kTarget];
@@ -342,7 +364,8 @@
       FailsMore(failed.bad, failed.responses, rate(failed), kFaultProbability)) {
     return "more failures in the last seconds";
   }
-  if (slow.bad >= kLeastBad && SlowMore(slow.bad, slow.responses, rate(slow), kFaultProbability)) {
+  if (slow.bad >= kLeastBad &&
+      SlowMore(slow.bad, slow.responses, rate(slow), excess, kFaultProbability)) {
     return "slower in the last seconds";
   }
   if (slow_alone >= kLeastSlowSeconds && slow_responses_alone >= kLeastBad &&
@@ -364,6 +387,13 @@
   return order_.duration - std::min(order_.duration / 2, 2 * totals_.longest_old + margin);
 }
 
+Duration Rollout::ControlTime() const {
+  if (servers_ && !had_old_servers_) {
+    return Duration::zero();
+  }
+  return std::min(kLongestControl, LeastSwitching() / 2);
+}
+
 Duration Rollout::LeastSwitching() const {
   return std::min(std::max<Duration>(kLeastSwitching, 2 * totals_.longest_old),
                   order_.duration / kSwitchingParts);
