--- a/packages/policy/include/lagoonwind/rollout.h
+++ b/packages/policy/include/lagoonwind/rollout.h
@@ -56,7 +56,10 @@
   /// older ones are ignored, so that duplicates and reordering do no harm.
   void MergePeerReport(Incarnation peer, const RolloutReport& report, Time now);
   /// Sets this gateway's own incarnation, so that it is not waited for as a peer.
-  void SetSelf(Incarnation self) { self_ = self; }
+  void SetSelf(Incarnation self) {
+    self_ = self;
+    live_.erase(self);
+  }
   /// Sets the live gateways of the fleet, with or without this one: those that peers' reports or
   /// the store list as up. Call it before the first Choose(): the slack is unused until then.
   void SetMembers(std::span<const Incarnation> live, Time now);
@@ -131,7 +134,7 @@
   [[nodiscard]] Duration SwitchTime() const;
   /// Shortest time in kSwitching, so that a version that fails under full load only is noticed.
   [[nodiscard]] Duration LeastSwitching() const;
-  /// Time in kSwitching during which a tenth of the new requests stays on old servers.
+  /// Time in kSwitching during which a small part of the new requests stays on old servers.
   [[nodiscard]] Duration ControlTime() const;
   [[nodiscard]] bool LeftOld(Time now) const;
   [[nodiscard]] bool AllLeftOld(Time now) const;
--- a/packages/policy/include/lagoonwind/rollout_types.h
+++ b/packages/policy/include/lagoonwind/rollout_types.h
@@ -44,7 +44,8 @@
   kUnknown,
   /// The target receives attempts within the exposure budget.
   kTrial,
-  /// New requests go to the target, apart from a tenth in the first moments, which old servers get
+  /// New requests go to the target, apart from a small part in the first two seconds, which old
+  /// servers get
   /// for
   /// comparison; attempts on old servers are ending.
   kSwitching,
--- a/packages/policy/src/rollout_evidence.cc
+++ b/packages/policy/src/rollout_evidence.cc
@@ -34,6 +34,7 @@
 constexpr double kSlowExcess = 0.1;
 /// Slow responses come in groups, so that a difference must be less likely than one in failures.
 constexpr double kSlowThresholdFactor = 0.01;
+constexpr double kSlowControlExcess = 0.25;
 constexpr double kSlowSecondExcess = 0.3;
 /// Responses of the old version from which its times are compared.
 constexpr std::uint32_t kLeastReference = 20;
@@ -310,7 +311,7 @@
   const double failure_rate = UpperRate(all.failures[kOld], all.responses[kOld], kLeastFailureRate);
   const double slow_rate = UpperRate(all.slow[kOld], all.responses[kOld], kLeastSlowRate);
   const bool switching = state_ == RolloutState::kSwitching;
-  const double excess = switching ? kSlowSecondExcess : kSlowExcess;
+  const double excess = switching ? kSlowControlExcess : kSlowExcess;
   // In the second in which the switch started, each version's responses are of different moments.
   const auto switch_second =
       std::chrono::duration_cast<seconds>(std::max(state_since_ - start_, Duration::zero()))
