--- a/packages/policy/include/lagoonwind/rollout.h
+++ b/packages/policy/include/lagoonwind/rollout.h
@@ -56,7 +56,10 @@
   /// older ones are ignored, so that duplicates and reordering do no harm.
   void MergePeerReport(Incarnation peer, const RolloutReport& report, Time now);
   /// Sets this gateway's own incarnation, so that it is not waited for as a peer.
-  void SetSelf(Incarnation self) { self_ = self; }
+  void SetSelf(Incarnation self) {
+    self_ = self;
+    live_.erase(self);
+  }
   /// Sets the live gateways of the fleet, with or without this one: those that peers' reports or
   /// the store list as up. Call it before the first Choose(): the slack is unused until then.
   void SetMembers(std::span<const Incarnation> live, Time now);
@@ -125,10 +128,14 @@
   [[nodiscard]] std::string_view JudgeRecent() const;
   /// True if there is evidence and nothing in it points at a bad version.
   [[nodiscard]] bool SupportsSwitch() const;
+  /// True if the switch may start now, shortly before the next second since the order.
+  [[nodiscard]] bool LateInSecond(Time now) const;
   /// When kSwitching starts, as time since the order.
   [[nodiscard]] Duration SwitchTime() const;
   /// Shortest time in kSwitching, so that a version that fails under full load only is noticed.
   [[nodiscard]] Duration LeastSwitching() const;
+  /// Time in kSwitching during which a small part of the new requests stays on old servers.
+  [[nodiscard]] Duration ControlTime() const;
   [[nodiscard]] bool LeftOld(Time now) const;
   [[nodiscard]] bool AllLeftOld(Time now) const;
   RolloutRouteCounts& LocalRoute(RouteId route);
