--- a/packages/gateway/src/rollout_manager.cc
+++ b/packages/gateway/src/rollout_manager.cc
@@ -108,9 +108,10 @@
     }
     OngoingRollout& rollout = *Find(service, now);
     const auto servers = options_.fleet.EligibleServers(service);
-    const auto of_target = std::ranges::count_if(servers, [&](const KnownServer* known) {
-      return known->server.version == order.request.target;
-    });
+    const auto of_target =
+        std::ranges::count_if(servers, [&order = order](const KnownServer* known) {
+          return known->server.version == order.request.target;
+        });
     rollout.decision.SetMembers(members, now);
     rollout.decision.SetServers(servers.size() - static_cast<std::size_t>(of_target),
                                 static_cast<std::size_t>(of_target), now);
@@ -224,7 +225,8 @@
     metrics.Set("lagoonwind_gateway_rollout_state",
                 "0 unknown, 1 trial, 2 switching, 3 complete, 4 reverted",
                 static_cast<double>(rollout.decision.state()), service);
-    const auto set = [&](const std::string& what, const std::string& help, const auto& counts) {
+    const auto set = [&metrics, &service = service](const std::string& what,
+                                                    const std::string& help, const auto& counts) {
       metrics.Set("lagoonwind_gateway_rollout_old_" + what, help + " old version, all gateways",
                   static_cast<double>(counts[0]), service);
       metrics.Set("lagoonwind_gateway_rollout_target_" + what, help + " target, all gateways",
@@ -314,7 +316,7 @@
     if (!due) {
       continue;
     }
-    const RolloutStatusRecord status = *due;
+    const RolloutStatusRecord& status = *due;
     ++calls_;
     // One write for each read: its condition no longer holds for a second one. `rollouts_` may
     // change during the call.
--- a/packages/policy/include/lagoonwind/engine_load.h
+++ b/packages/policy/include/lagoonwind/engine_load.h
@@ -177,7 +177,7 @@
     /// `Engine::total_prefill_tokens` after this request was added.
     std::uint64_t end_position = 0;
     std::int64_t uncached_tokens = 0;
-    /// Prefill tokens queued ahead of it when it was sent, with those that peers reported since.
+    /// Prefill tokens queued ahead of it when it was sent.
     std::int64_t queued_tokens = 0;
     std::int64_t kv_tokens = 0;
     /// Zero if it is unknown.
@@ -266,9 +266,6 @@
   }
   /// Adds a measured prefill to the estimates of the engine and of the fleet.
   void AddRateSample(Engine& engine, double tokens, double seconds);
-  /// Counts tokens that a peer sent at an even rate in a period that ends now as queued ahead of
-  /// the local requests that were sent later.
-  static void AddTokensAhead(Engine& engine, std::uint64_t tokens, Time since, Time now);
   static void ApplyReport(Engine& engine, PeerState& state, const EngineReport& report, Time now);
   /// True if the engine still caches a segment that it used.
   [[nodiscard]] bool IsCached(const Engine& engine, const SegmentUse& use, Time now) const;
--- a/packages/policy/src/engine_load.cc
+++ b/packages/policy/src/engine_load.cc
@@ -311,19 +311,6 @@
       duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(seconds));
 }
 
-void EngineLoad::AddTokensAhead(Engine& engine, std::uint64_t tokens, Time since, Time now) {
-  const double period = std::chrono::duration<double>(now - since).count();
-  for (RunningRequest& request : engine.running) {
-    if (request.first_byte_received || request.sent_at <= since) {
-      continue;
-    }
-    const double share = std::chrono::duration<double>(request.sent_at - since).count() / period;
-    const auto ahead = static_cast<std::uint64_t>(static_cast<double>(tokens) * share);
-    request.end_position += ahead;
-    request.queued_tokens += static_cast<std::int64_t>(ahead);
-  }
-}
-
 void EngineLoad::RecordFirstByte(ServerId server, RequestNumber request, Time now,
                                  Duration local_delay) {
   Engine* found = FindEngine(server);
@@ -442,7 +429,6 @@
     if (!added && report.prefill_tokens > last.prefill_tokens) {
       const std::uint64_t tokens = report.prefill_tokens - last.prefill_tokens;
       AddPrefillWork(engine, tokens, sent_since);
-      AddTokensAhead(engine, tokens, sent_since, now);
     }
     if (!added && report.measured_tokens > last.measured_tokens &&
         report.measured_time > last.measured_time) {
