--- a/packages/gateway/src/record_access.cc
+++ b/packages/gateway/src/record_access.cc
@@ -30,9 +30,12 @@
 
 std::optional<std::int64_t> EndOffsetOf(const absl::Status& status) {
   const auto payload = status.GetPayload(kEndOffsetUrl);
+  if (!payload) {
+    return std::nullopt;
+  }
+  const std::string text(*payload);
   std::int64_t end = 0;
-  const bool stated = payload && absl::SimpleAtoi(std::string(*payload), &end);
-  return stated ? std::optional(end) : std::nullopt;
+  return absl::SimpleAtoi(text, &end) ? std::optional(end) : std::nullopt;
 }
 
 }  // namespace lagoonwind::gateway
--- a/tests/unit/engine_rates_test.cc
+++ b/tests/unit/engine_rates_test.cc
@@ -38,7 +38,7 @@
   /// Returns the time of the first byte.
   Time Send(std::int64_t tokens, Time now) {
     Time end = std::max(busy_until, now);
-    double left = static_cast<double>(tokens);
+    auto left = static_cast<double>(tokens);
     while (left > 0) {
       const bool slow =
           has_spells && end.time_since_epoch() % milliseconds(4000) < milliseconds(600);
