Review case 8: LOST, a resumed stream is cut after its last event

How: three gateways get SIGTERM in turn; one of three workers pauses once in its streams for 1.9 s, another one's end with their connection.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
-for program in crashing_request smuggled_body spoiled_answers; do
+for program in crashing_request resumed_stream spoiled_answers; do
   g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread \
     -o "build-review-2/$program" "review/standins-2/$program.cc" review/standins-2/world.cc
 done
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -139,6 +139,7 @@
   std::string chunk(16384, '\0');
   const ssize_t count = recv(fd_, chunk.data(), chunk.size(), 0);
   if (count <= 0) {
+    broken_ = count < 0;
     return false;
   }
   buffer_.append(chunk, 0, static_cast<std::size_t>(count));
@@ -205,6 +206,15 @@
   return true;
 }
 
+std::string Connection::ReadAll(const std::string& last) {
+  bool open = true;
+  while (open && !(buffer_.size() >= last.size() &&
+                   buffer_.compare(buffer_.size() - last.size(), last.size(), last) == 0)) {
+    open = Fill();
+  }
+  return std::exchange(buffer_, {});
+}
+
 void Connection::AwaitClose(milliseconds time) {
   SetReadTimeout(time);
   while (Fill()) {
@@ -391,10 +401,12 @@
     text << (&route == routes.data() ? "" : ",") << R"({"name":")" << route.name
          << R"(","host":"shop","path_prefix":")" << route.prefix << R"(","type":")" << route.type
          << R"(","backend":")" << route.service << R"(","timeout_ms":)" << route.timeout_ms
-         << R"(,"slo_ms":300,"priority":2,"max_attempts":)" << route.max_attempts << "}";
+         << R"(,"slo_ms":300,"priority":2,"max_attempts":)" << route.max_attempts
+         << R"(,"resumable":)" << (route.resumable ? "true" : "false") << "}";
   }
   text
-      << R"(],"services":[{"name":"desk","max_conns":100}],)"
+      << R"(],"services":[{"name":"desk","max_conns":100},)"
+      << R"({"name":"model","max_conns":360,"engine":{"slots":64,"kv_capacity":315709}}],)"
       << R"("limits":{"max_header_bytes":16384,"max_body_bytes":1048576,)"
       << R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
       << R"("tenants":[{"name":"erie","api_keys":["key1"]},{"name":"huron","api_keys":["key2"]}]})";
@@ -458,6 +470,8 @@
          info.si_pid == 0;
 }
 
+void Gateway::Terminate() const { kill(pid_, SIGTERM); }
+
 bool Gateway::AwaitReady() const {
   const auto until = Clock::now() + kReadyTime;
   while (Clock::now() < until && Runs()) {
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -71,6 +71,10 @@
   /// Reads a message; its `complete` is false if none arrived.
   Message Read();
   bool Write(const std::string& bytes);
+  /// Reads bytes until they end with `last` or the connection ends.
+  std::string ReadAll(const std::string& last);
+  /// True if a read has failed other than by the end of the connection in order.
+  [[nodiscard]] bool broken() const { return broken_; }
   /// Waits until the peer closes the connection or `time` has passed.
   void AwaitClose(milliseconds time);
   /// Ends both directions, so that pending reads return.
@@ -85,6 +89,7 @@
   std::string ReadLine();
 
   int fd_;
+  bool broken_ = false;
   std::string buffer_;
 };
 
@@ -153,6 +158,7 @@
   std::string service;
   int timeout_ms = 1500;
   int max_attempts = 1;
+  bool resumable = false;
 };
 
 /// Writes a configuration with the tenants `erie` and `huron`, whose keys are `key1` and `key2`.
@@ -177,6 +183,8 @@
   [[nodiscard]] bool AwaitReady() const;
   /// True if the process has not ended by itself.
   [[nodiscard]] bool Runs() const;
+  /// Sends SIGTERM.
+  void Terminate() const;
 
  private:
   std::string front_;
