--- a/review/standins-2/crashing_request.cc
+++ b/review/standins-2/crashing_request.cc
@@ -24,7 +24,7 @@
 constexpr milliseconds kDuration{36000};
 /// Pause of the caller between an answer and its next attempt.
 constexpr milliseconds kRetryPause{1000};
-constexpr milliseconds kInnocentPause{60};
+constexpr milliseconds kInnocentPause{40};
 /// Longest time for which the caller waits; the route's timeout is half of it.
 constexpr milliseconds kDeadline{3000};
 /// Bounds of the rule.
