--- a/review/standins-2/crashing_request.cc
+++ b/review/standins-2/crashing_request.cc
@@ -177,8 +177,8 @@
     const bool harmful = request.body == kHarmful;
     if (harmful) {
       tally_.AddRun(record_.Seconds());
-      record_.Write(name_ + " runs " + id + " (the request that crashes workers)");
     }
+    record_.Write(name_ + " runs " + id + (harmful ? " (the request that comes again)" : ""));
     const std::string body = "booked: " + id;
     const bool crashes = harmful && Trouble() != "0";
     const bool unframed = harmful && unframed_;
@@ -258,14 +258,11 @@
       const int number = ++sent_;
       senders_.emplace_back([this, number] {
         const std::string id = "other-" + std::to_string(number);
+        record_.Write(id + " (a booking of another caller) is sent");
         const Message response =
             Send(fronts_[static_cast<std::size_t>(number) % fronts_.size()], id, "a booking");
-        if (response.Status() == 200) {
-          ++answered_;
-        } else {
-          record_.Write(id + " (a booking of another caller) is answered with " +
-                        std::to_string(response.Status()));
-        }
+        answered_ += response.Status() == 200 ? 1 : 0;
+        record_.Write(id + " is answered with " + std::to_string(response.Status()));
       });
       std::this_thread::sleep_for(kInnocentPause);
     }
--- a/review/standins-2/resumed_stream.cc
+++ b/review/standins-2/resumed_stream.cc
@@ -114,6 +114,7 @@
     record.Write(id + " finds no connection");
     return true;
   }
+  record.Write(id + " is sent to " + front);
   const std::string body = "a question";
   connection->SetReadTimeout(kReadTime);
   connection->Write("POST /ask/run HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: " + id +
--- a/review/standins-2/spoiled_answers.cc
+++ b/review/standins-2/spoiled_answers.cc
@@ -22,7 +22,7 @@
 constexpr milliseconds kRunTime{45};
 constexpr milliseconds kSendPause{33};
 constexpr milliseconds kDeadline{1000};
-constexpr milliseconds kDuration{40000};
+constexpr milliseconds kDuration{80000};
 /// The fault lasts for `kFaultTime` in each `kFaultPeriod`, and spoils one of `kFaultShare` answers
 /// of one worker of three.
 constexpr double kFaultPeriod = 10.0;
@@ -60,6 +60,10 @@
          "text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string SentLine(const std::string& id, const std::string& tenant, const std::string& front) {
+  return id + " of tenant " + tenant + " is sent to " + front;
+}
+
 /// The answer, cut off inside its head.
 std::string CutOff(const std::string& answer) {
   const std::string field = kLastField;
@@ -114,15 +118,17 @@
       const bool is_spoiled = IsSpoiled(is_full);
       if (is_full) {
         --running_;
+        record_.Write(name_ + " is full and refuses " + id +
+                      (is_spoiled ? "; this refusal will come again" : ""));
         connection.Write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n" + echo +
                          "Content-Length: 0\r\n\r\n");
         if (is_spoiled) {
-          record_.Write(name_ + " is full and refuses " + id);
           late_bytes = Trouble() == "0" ? "" : kCutRefusal;
         }
         continue;
       }
       runs_.Add(id, name_);
+      record_.Write(name_ + " runs " + id);
       if (!late_bytes.empty()) {
         ++spoiled_;
         record_.Write(name_ + " sends " + std::to_string(late_bytes.size()) +
@@ -218,7 +224,9 @@
     senders.emplace_back([&, id = "booking-" + std::to_string(i), key = is_first ? "key1" : "key2",
                           tenant = is_first ? "erie" : "huron",
                           front = fronts[static_cast<std::size_t>(i % kGateways)]] {
+      record.Write(SentLine(id, tenant, front));
       const Message response = Book(front, key, id);
+      record.Write(id + " is answered with " + std::to_string(response.Status()));
       const std::scoped_lock lock(mutex);
       ++statuses[response.Status()];
       if (response.Status() == 200 && response.complete && response.body != BodyFor(tenant, id)) {
