Log response heads that hold a second status line

1. the gateway takes the late copy, a response to another request, for the response (its id isn't compared, or compared with the wrong request); 2. the pool hands out a connection with unread bytes of an earlier response; 3. the parser reads two responses as one head, so that the id is that of the first one and the length and body are those of the second.

No decision is changed.

--- a/packages/gateway/include/lagoonwind/gateway.h
+++ b/packages/gateway/include/lagoonwind/gateway.h
@@ -79,6 +79,8 @@
   [[nodiscard]] virtual RequestHead EncodeForward(const RequestHead& head,
                                                   const ForwardOptions& options) const = 0;
   [[nodiscard]] virtual ResponseInfo DecodeResponse(const ResponseHead& head) const = 0;
+  /// Name of the response field with the id of the request.
+  [[nodiscard]] virtual std::string_view request_id_field() const = 0;
   /// Path of the load balancer's readiness check.
   [[nodiscard]] virtual std::string_view readiness_path() const = 0;
 };
--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/http/read.hpp>
 #include <utility>
 
+#include "lagoonwind/response_check.h"
+
 namespace lagoonwind::gateway {
 namespace {
 
@@ -75,6 +77,7 @@
   if (status < kMinStatus || status > kMaxStatus) {
     co_return absl::DataLossError(absl::StrCat("the status ", status, " is out of range"));
   }
+  head_check_ = lagoonwind::http::CheckSingleHead(head());
   response_info_ = codec_.DecodeResponse(head());
   co_return absl::OkStatus();
 }
