Refuse response heads that consist of two responses

Cause: a line break ends a header field, whatever it holds. A response that breaks off inside a field or the reason phrase is continued by the status line of the next response on the connection, and the parser reads both as one head. Id, status, "not run", length and body then come from different responses.

Ruled out: a wrong comparison of ids, and unread bytes in a pooled connection; neither shows a second status line.

Change: a head with a status line in its reason phrase or in a field's value is no response; the request counts as one that may have run. Everywhere else in a head a status line is a syntax error already. Fields that decisions use may have one value only, and a success can't state that the request was not run.

Cost for sound servers: a field that quotes a whole status line.

--- a/packages/gateway/include/lagoonwind/gateway.h
+++ b/packages/gateway/include/lagoonwind/gateway.h
@@ -78,7 +78,9 @@
   /// Returns the request head to send to a backend server, without the fields that frame the body.
   [[nodiscard]] virtual RequestHead EncodeForward(const RequestHead& head,
                                                   const ForwardOptions& options) const = 0;
-  [[nodiscard]] virtual ResponseInfo DecodeResponse(const ResponseHead& head) const = 0;
+  /// \return DataLoss if fields that may occur once have several values, or contradict the status.
+  [[nodiscard]] virtual absl::StatusOr<ResponseInfo> DecodeResponse(
+      const ResponseHead& head) const = 0;
   /// Name of the response field with the id of the request.
   [[nodiscard]] virtual std::string_view request_id_field() const = 0;
   /// Path of the load balancer's readiness check.
--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -77,11 +77,22 @@
   if (status < kMinStatus || status > kMaxStatus) {
     co_return absl::DataLossError(absl::StrCat("the status ", status, " is out of range"));
   }
-  head_check_ = lagoonwind::http::CheckSingleHead(head());
-  response_info_ = codec_.DecodeResponse(head());
+  auto info = DecodeHead();
+  if (!info.ok()) {
+    co_return info.status();
+  }
+  response_info_ = *std::move(info);
   co_return absl::OkStatus();
 }
 
+absl::StatusOr<ResponseInfo> BackendCall::DecodeHead() const {
+  const absl::Status single = lagoonwind::http::CheckSingleHead(head());
+  if (!single.ok()) {
+    return single;
+  }
+  return codec_.DecodeResponse(head());
+}
+
 asio::awaitable<absl::Status> BackendCall::ReadHead() {
   for (int mismatched = 0; mismatched <= kMaxMismatchedResponses; ++mismatched) {
     absl::Status read = co_await ReadNextHead();
--- a/packages/gateway/src/backend_call.h
+++ b/packages/gateway/src/backend_call.h
@@ -45,13 +45,6 @@
 
   [[nodiscard]] const ResponseHead& head() const { return parser_->get().base(); }
   [[nodiscard]] const ResponseInfo& response_info() const { return response_info_; }
-  /// Number of fields that state the id of the request.
-  [[nodiscard]] std::size_t CountRequestIds() const {
-    const std::string_view name = codec_.request_id_field();
-    return head().count({name.data(), name.size()});
-  }
-  /// DataLoss if the head holds a second status line.
-  [[nodiscard]] const absl::Status& head_check() const { return head_check_; }
   /// How the response shows where its body ends.
   [[nodiscard]] BodyFraming framing() const;
   /// True if the connection can carry another request.
@@ -61,6 +54,8 @@
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
   asio::awaitable<absl::Status> ReadNextHead();
+  /// \return DataLoss if the head is not that of one response.
+  [[nodiscard]] absl::StatusOr<ResponseInfo> DecodeHead() const;
   /// Reads and drops the body of a response to another request.
   asio::awaitable<absl::Status> DiscardBody();
   /// Checks the number of bytes that the call holds.
@@ -71,7 +66,6 @@
   std::string request_id_;
   std::optional<Parser> parser_;
   ResponseInfo response_info_;
-  absl::Status head_check_;
   std::function<bool(std::size_t)> may_hold_;
   /// Memory of the part of the body that ReadBody() has read.
   std::size_t held_body_bytes_ = 0;
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -187,15 +187,6 @@
   const ResponseInfo& info = call.response_info();
   const unsigned status = call.head().result_int();
   last_framing_ = call.framing().kind;
-  if (!call.head_check().ok()) {
-    context_.log.Write(Severity::kFailure, "joined_response",
-                       {{"request", accepted_.request.id},
-                        {"server", server.name},
-                        {"status", status},
-                        {"reason", call.head_check().ToString()},
-                        {"request_ids", call.CountRequestIds()},
-                        {"reused_connection", connection_->reused}});
-  }
   if (info.not_run || info.wrong_server) {
     const auto body = co_await call.ReadBody(kMaxBufferedResponseBytes);
     context_.log.Write(Severity::kFailure, "backend_refused",
@@ -237,6 +228,9 @@
   const Time now = Now();
   const bool connection_broke = abort_reason_ == AbortReason::kNone;
   ReleaseResponse();
+  if (connection_broke && absl::IsDataLoss(status)) {
+    context_.metrics.CountFaultyResponse();
+  }
   if (connection_broke) {
     RecordBreak(server);
   }
--- a/packages/gateway/src/gateway_metrics.cc
+++ b/packages/gateway/src/gateway_metrics.cc
@@ -42,7 +42,13 @@
                        .Name("lagoonwind_gateway_begin_error_seconds")
                        .Help("Difference of expected and seen time until an engine began")
                        .Register(*registry_)
-                       .Add({}, kSeconds)) {}
+                       .Add({}, kSeconds)),
+      faulty_responses_(
+          prometheus::BuildCounter()
+              .Name("lagoonwind_gateway_faulty_responses_total")
+              .Help("Responses that are malformed or may consist of several responses")
+              .Register(*registry_)
+              .Add({})) {}
 
 prometheus::Counter& GatewayMetrics::SeriesFor(const std::string& key,
                                                prometheus::Family<prometheus::Counter>& family,
--- a/packages/gateway/src/gateway_metrics.h
+++ b/packages/gateway/src/gateway_metrics.h
@@ -31,6 +31,8 @@
   void ObserveStartError(double expected, double actual);
   /// Counts a retry.
   void CountRetry(std::string_view reason);
+  /// Counts a response that is malformed or whose bytes may come from several responses.
+  void CountFaultyResponse() { faulty_responses_.Increment(); }
   /// Sets a gauge.
   /// \param service  Value of the `service` label; no label if empty.
   void Set(const std::string& name, const std::string& help, double value,
@@ -56,6 +58,7 @@
   prometheus::Family<prometheus::Histogram>& duration_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Histogram& start_error_;
+  prometheus::Counter& faulty_responses_;
   absl::flat_hash_map<std::string, prometheus::Gauge*> gauges_;
   /// Customers that have their own time series.
   absl::flat_hash_set<std::string> customer_names_;
--- a/tests/fuzz/gateway_fuzz_test.cc
+++ b/tests/fuzz/gateway_fuzz_test.cc
@@ -118,8 +118,9 @@
     response.set("Keep-Alive", mutator.Mutate("timeout=5, max=9"));
     response.set("X-Cold-Ms", mutator.Mutate("1200"));
     const auto info = codec->DecodeResponse(response);
-    CHECK(info.keep_alive >= gateway::milliseconds(0));
-    CHECK(info.cold_left >= gateway::milliseconds(0));
+    REQUIRE(info.ok());
+    CHECK(info->keep_alive >= gateway::milliseconds(0));
+    CHECK(info->cold_left >= gateway::milliseconds(0));
   }
 }
 
--- a/tests/unit/users_platform_test.cc
+++ b/tests/unit/users_platform_test.cc
@@ -216,13 +216,36 @@
   head.set("X-Not-Run", "1");
   head.set("Keep-Alive", "max=5, timeout=12");
   const auto refused = codec->DecodeResponse(head);
-  CHECK(refused.not_run);
-  CHECK(!refused.is_signed);
-  CHECK(refused.keep_alive == std::chrono::seconds(12));
+  REQUIRE(refused.ok());
+  CHECK(refused->not_run);
+  CHECK(!refused->is_signed);
+  CHECK(refused->keep_alive == std::chrono::seconds(12));
   head.result(421);
   head.set("Keep-Alive", "timeout=x");
-  CHECK(codec->DecodeResponse(head).wrong_server);
-  CHECK(codec->DecodeResponse(head).keep_alive == std::chrono::milliseconds(0));
+  const auto misdirected = codec->DecodeResponse(head);
+  REQUIRE(misdirected.ok());
+  CHECK(misdirected->wrong_server);
+  CHECK(misdirected->keep_alive == std::chrono::milliseconds(0));
+}
+
+TEST_CASE("response heads with contradictory fields are refused") {
+  const auto codec = MakeHeaderCodec();
+  for (const char* name :
+       {"X-Attempt-Id", "X-Server-Seal", "X-Not-Run", "X-Cold-Ms", "Content-Type"}) {
+    CAPTURE(name);
+    gateway::ResponseHead head;
+    head.result(503);
+    head.insert(name, "a");
+    CHECK(codec->DecodeResponse(head).ok());
+    head.insert(name, "a");
+    CHECK(codec->DecodeResponse(head).ok());
+    head.insert(name, "b");
+    CHECK(absl::IsDataLoss(codec->DecodeResponse(head).status()));
+  }
+  gateway::ResponseHead success;
+  success.result(200);
+  success.set("X-Not-Run", "1");
+  CHECK(absl::IsDataLoss(codec->DecodeResponse(success).status()));
 }
 
 TEST_CASE("record pages are decoded, and truncated ones never yield all records") {
