Refuse bodies and events that take in the next response

What callers would see, found by asking where else the cause of the joined heads holds: a 200 whose body is completed by the head or body of the response to another request, also another customer's; events of a stream with a foreign head, and the events behind it.

Cause: the length that a broken-off response stated, the end of the connection, or the trailers of a chunked body end whatever bytes come, whoever they are from; events are forwarded before the framing shows the fault.

Change: a plain body with a stated length is refused if a status line begins in it and bytes follow it; if it seems to hold a status line, the gateway waits up to 50 ms for these bytes. The head is checked again once trailers were added to it.

Test: joined_response_test, six new cases.

Cost for sound servers: a plain body with a stated length that quotes a status line is passed on up to 50 ms later; a body without framing that quotes a head with its own request's id is refused.

--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -2,15 +2,16 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <chrono>
 #include <utility>
 
-#include "lagoonwind/response_check.h"
-
 namespace lagoonwind::gateway {
 namespace {
 
@@ -28,6 +29,9 @@
 constexpr std::size_t kReadBufferBytes = 16UL << 10U;
 /// Largest body of a response to another request that is read so that the connection can be used.
 constexpr std::size_t kMaxDiscardedBytes = 256UL << 10U;
+/// Time in which the rest of a second response arrives whose beginning has filled up a body.
+constexpr std::chrono::milliseconds kSurplusTime{50};
+constexpr std::chrono::milliseconds kSurplusPollTime{5};
 /// Statuses that HTTP defines, by class.
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
@@ -45,6 +49,7 @@
   connection_->request_head = std::move(head);
   connection_->request_body = std::move(body);
   connection_->written = false;
+  previous_request_id_ = std::exchange(connection_->request_id, request_id_);
   const std::array buffers{asio::buffer(std::as_const(connection_->request_head)),
                            asio::buffer(*connection_->request_body)};
   asio::async_write(connection_->socket, buffers,
@@ -171,6 +176,14 @@
       co_return count;
     }
   }
+  if (parser_->chunked()) {
+    // The parser adds trailers to the fields of the head.
+    const absl::Status single = DecodeHead().status();
+    if (!single.ok()) {
+      responses_joined_ = true;
+      co_return single;
+    }
+  }
   if (parser_->need_eof() && !connection_->written) {
     // A backend server that ends the connection with unread input resets it. The write may take
     // the error, after which the read sees an end in order.
@@ -181,6 +194,7 @@
 
 asio::awaitable<absl::StatusOr<std::string>> BackendCall::ReadBody(std::size_t max_bytes) {
   std::string body;
+  lagoonwind::http::BodyScanner scanner;
   auto chunk = std::make_unique<std::array<char, kReadBufferBytes>>();
   for (;;) {
     const auto count = co_await ReadBodyChunk(*chunk);
@@ -188,6 +202,11 @@
       co_return count.status();
     }
     if (*count == 0) {
+      const absl::Status single = co_await CheckBody(body, scanner);
+      if (!single.ok()) {
+        responses_joined_ = true;
+        co_return single;
+      }
       co_return body;
     }
     if (body.size() + *count > max_bytes) {
@@ -195,10 +214,49 @@
           absl::StrCat("the response body exceeds ", max_bytes, " bytes"));
     }
     body.append(chunk->data(), *count);
+    scanner.Append({chunk->data(), *count});
     held_body_bytes_ = body.capacity();
   }
 }
 
+asio::awaitable<absl::Status> BackendCall::CheckBody(std::string_view body,
+                                                     const lagoonwind::http::BodyScanner& scanner) {
+  if (parser_->need_eof()) {
+    // Nothing but the ids that can be expected on this connection tells another response from a
+    // body that quotes one.
+    const auto ids = lagoonwind::http::FindFieldInHeads(body, codec_.request_id_field());
+    const bool is_joined = std::ranges::any_of(ids, [this](std::string_view id) {
+      return !id.empty() && (id == request_id_ || id == previous_request_id_);
+    });
+    co_return is_joined ? absl::DataLossError("the body without framing holds another response")
+                        : absl::OkStatus();
+  }
+  if (parser_->chunked() || !scanner.MayHoldStatusLine()) {
+    co_return absl::OkStatus();
+  }
+  std::string surplus = Surplus();
+  asio::steady_timer timer(connection_->socket.get_executor());
+  for (auto waited = kSurplusPollTime;
+       surplus.empty() && waited <= kSurplusTime && scanner.SeemsToHoldStatusLine() &&
+       !IsClosedByPeer(connection_->socket);
+       waited += kSurplusPollTime) {
+    timer.expires_after(kSurplusPollTime);
+    co_await timer.async_wait(asio::use_awaitable);
+    surplus = Surplus();
+  }
+  co_return scanner.IsFilledUp(surplus)
+      ? absl::DataLossError("a second response begins in the body and goes on behind it")
+      : absl::OkStatus();
+}
+
+std::string BackendCall::Surplus() const {
+  const auto buffered = connection_->buffer.data();
+  if (buffered.size() > 0) {
+    return {static_cast<const char*>(buffered.data()), buffered.size()};
+  }
+  return PeekInput(connection_->socket);
+}
+
 BodyFraming BackendCall::framing() const {
   if (parser_->need_eof()) {
     return {.kind = BodyFraming::Kind::kUntilClose};
@@ -212,7 +270,7 @@
 }
 
 bool BackendCall::reusable() const {
-  return connection_->written && parser_.has_value() && parser_->is_done() &&
+  return connection_->written && !responses_joined_ && parser_.has_value() && parser_->is_done() &&
          parser_->keep_alive() && connection_->buffer.size() == 0;
 }
 
--- a/packages/gateway/src/backend_call.h
+++ b/packages/gateway/src/backend_call.h
@@ -12,6 +12,7 @@
 #include "backend_pool.h"
 #include "body_framing.h"
 #include "lagoonwind/gateway.h"
+#include "lagoonwind/response_check.h"
 
 namespace lagoonwind::gateway {
 
@@ -40,7 +41,8 @@
   /// \return Number of bytes read; 0 at the end of the body. Errors as for ReadHead().
   asio::awaitable<absl::StatusOr<std::size_t>> ReadBodyChunk(std::span<char> chunk);
   /// Reads the rest of the body.
-  /// \return ResourceExhausted if it exceeds `max_bytes`. Other errors as for ReadHead().
+  /// \return ResourceExhausted if it exceeds `max_bytes`; DataLoss if it holds a part of another
+  /// response. Other errors as for ReadHead().
   asio::awaitable<absl::StatusOr<std::string>> ReadBody(std::size_t max_bytes);
 
   [[nodiscard]] const ResponseHead& head() const { return parser_->get().base(); }
@@ -56,6 +58,11 @@
   asio::awaitable<absl::Status> ReadNextHead();
   /// \return DataLoss if the head is not that of one response.
   [[nodiscard]] absl::StatusOr<ResponseInfo> DecodeHead() const;
+  /// Checks that a whole body comes from one response.
+  asio::awaitable<absl::Status> CheckBody(std::string_view body,
+                                          const lagoonwind::http::BodyScanner& scanner);
+  /// First bytes that follow the response on the connection and have been received; may be empty.
+  [[nodiscard]] std::string Surplus() const;
   /// Reads and drops the body of a response to another request.
   asio::awaitable<absl::Status> DiscardBody();
   /// Checks the number of bytes that the call holds.
@@ -64,8 +71,12 @@
   const HeaderCodec& codec_;
   BackendPool::Connection connection_;
   std::string request_id_;
+  /// Id of the request that the connection carried before; empty if there was none.
+  std::string previous_request_id_;
   std::optional<Parser> parser_;
   ResponseInfo response_info_;
+  /// True if the connection doesn't keep responses apart.
+  bool responses_joined_ = false;
   std::function<bool(std::size_t)> may_hold_;
   /// Memory of the part of the body that ReadBody() has read.
   std::size_t held_body_bytes_ = 0;
--- a/packages/gateway/src/backend_pool.cc
+++ b/packages/gateway/src/backend_pool.cc
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -47,6 +48,16 @@
 }  // namespace
 
 bool IsIdle(asio::ip::tcp::socket& socket) { return ProbeSocket(socket) == SocketState::kIdle; }
+
+std::string PeekInput(asio::ip::tcp::socket& socket) {
+  constexpr std::size_t kPeekedBytes = 64;
+  std::string bytes(kPeekedBytes, '\0');
+  const ssize_t count =
+      recv(socket.native_handle(), bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+  bytes.resize(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+  return bytes;
+}
+
 bool IsClosedByPeer(asio::ip::tcp::socket& socket) {
   // POLLRDHUP reports a close even while data received before it is unread.
   pollfd state{.fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0};
--- a/packages/gateway/src/backend_pool.h
+++ b/packages/gateway/src/backend_pool.h
@@ -30,6 +30,8 @@
   bool written = true;
   /// True if the connection carried an earlier request.
   bool reused = false;
+  /// Id of the last request that the connection carried.
+  std::string request_id;
   Time usable_until{};
   bool connecting = true;
   bool connect_timed_out = false;
@@ -71,6 +73,8 @@
 
 /// True if the peer has not closed the connection and there is no unread input.
 bool IsIdle(asio::ip::tcp::socket& socket);
+/// Returns the first bytes of the unread input, without reading them; empty if there is none.
+std::string PeekInput(asio::ip::tcp::socket& socket);
 /// True if the peer has closed or reset the connection.
 bool IsClosedByPeer(asio::ip::tcp::socket& socket);
 
--- a/tests/end_to_end/joined_response_test.cc
+++ b/tests/end_to_end/joined_response_test.cc
@@ -16,8 +16,12 @@
 namespace {
 
 namespace asio = http::asio;
+using std::chrono::milliseconds;
 using testing::Caller;
+using testing::ChunkOf;
+using testing::EventOf;
 using testing::kApiKeyField;
+using testing::kPromptFields;
 using testing::PlatformWorld;
 using testing::RawConnection;
 using testing::ScriptedFixture;
@@ -145,6 +149,170 @@
   }));
 }
 
+TEST_CASE("a body that breaks off isn't filled up by a copy of the response before") {
+  const std::string response = ResponseTemplate("200 OK");
+  std::atomic<std::size_t> cut = 0;
+  std::atomic<bool> pauses = false;
+  ScriptedFixture fixture(
+      "desk", [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+        const std::string earlier = WithId(response, id);
+        (void)co_await connection.Write(earlier);
+        id = co_await connection.ReadRequest();
+        if (id.empty()) {
+          co_return;
+        }
+        const std::string broken_off = WithId(response, id).substr(0, cut);
+        const std::size_t missing = earlier.size() - cut;
+        if (pauses) {
+          // What fills up the body is received before the rest.
+          (void)co_await connection.Write(broken_off + earlier.substr(0, missing));
+          (void)co_await connection.Write(earlier.substr(missing));
+        } else {
+          (void)co_await connection.Write(broken_off + earlier);
+        }
+        (void)co_await connection.ReadRequest();
+      });
+  const std::string whole = WithId(response, IdOf('q', 0));
+  for (std::size_t size = HeadSize(whole); size < whole.size(); ++size) {
+    cut = size;
+    CAPTURE(whole.size() - size);
+    Caller caller(PlatformWorld::CallerAddress(1));
+    CHECK(caller.Send("POST", "/book/1", IdOf('p', size), {kApiKeyField}, "x").status == 200);
+    const auto second = caller.Send("POST", "/book/1", IdOf('q', size), {kApiKeyField}, "x");
+    CHECK(second.status == 502);
+  }
+  pauses = true;
+  cut = HeadSize(whole);
+  Caller caller(PlatformWorld::CallerAddress(1));
+  CHECK(caller.Send("POST", "/book/1", "p99", {kApiKeyField}, "x").status == 200);
+  CHECK(caller.Send("POST", "/book/1", "q99", {kApiKeyField}, "x").status == 502);
+}
+
+TEST_CASE("a body without framing doesn't take in a copy of the response before") {
+  std::atomic<bool> breaks_off = true;
+  ScriptedFixture fixture(
+      "desk", [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+        const std::string earlier = WithId(ResponseTemplate("200 OK"), id);
+        (void)co_await connection.Write(earlier);
+        id = co_await connection.ReadRequest();
+        if (!id.empty()) {
+          const std::string body = "body of " + id;
+          (void)co_await connection.Write(testing::ResponseHeadOf(id, "Connection: close") +
+                                          body.substr(0, breaks_off ? 4 : body.size()) + earlier);
+        }
+      });
+  for (const char* number : {"10", "11"}) {
+    const std::string id = number;
+    Caller caller(PlatformWorld::CallerAddress(1));
+    CHECK(caller.Send("POST", "/book/1", "p" + id, {kApiKeyField}, "x").status == 200);
+    CHECK(caller.Send("POST", "/book/1", "q" + id, {kApiKeyField}, "x").status == 502);
+    breaks_off = false;
+  }
+}
+
+TEST_CASE("a stream that breaks off doesn't take in events of the response before") {
+  const std::string events = EventOf(1) + EventOf(2) + EventOf(3) + EventOf(4);
+  // One chunk or a stated length for all events, and neither.
+  const std::vector<std::string> framings{"Transfer-Encoding: chunked",
+                                          absl::StrCat("Content-Length: ", 4 * events.size()),
+                                          "Connection: close"};
+  for (const std::string& framing : framings) {
+    CAPTURE(framing);
+    const bool is_chunked = framing == framings[0];
+    std::atomic<std::size_t> cut = 0;
+    ScriptedFixture fixture(
+        "model", [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+          const std::string earlier =
+              testing::ResponseHeadOf(id, absl::StrCat("Content-Length: ", events.size())) + events;
+          (void)co_await connection.Write(earlier);
+          id = co_await connection.ReadRequest();
+          if (!id.empty()) {
+            std::string text = testing::ResponseHeadOf(id, framing);
+            absl::StrAppend(&text, is_chunked ? "fff\r\n" : "");
+            (void)co_await connection.Write(text + events.substr(0, cut) + earlier);
+            co_await connection.Wait(milliseconds(20));
+          }
+        });
+    for (const std::size_t size : {events.size() / 2, EventOf(1).size(), EventOf(1).size() + 3}) {
+      cut = size;
+      CAPTURE(size);
+      Caller caller(PlatformWorld::CallerAddress(1));
+      CHECK(caller.Send("POST", "/chat/1", IdOf('p', size), kPromptFields, "x").body == events);
+      const auto second = caller.Send("POST", "/chat/1", IdOf('q', size), kPromptFields, "x");
+      CHECK(!(second.status == 200 && second.complete));
+      CHECK(second.body.find("HTTP") == std::string::npos);
+      CHECK(second.body.find("X-Attempt-Id") == std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("trailers aren't completed by the head of another response") {
+  ScriptedFixture fixture(
+      "desk", [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+        const std::string earlier = WithId(ResponseTemplate("200 OK"), id);
+        (void)co_await connection.Write(earlier);
+        id = co_await connection.ReadRequest();
+        (void)co_await connection.Write(testing::ResponseHeadOf(id, "Transfer-Encoding: chunked") +
+                                        ChunkOf("body of " + id) +
+                                        "0\r\nX-Note: aHTTP/1.1 200 OK\r\nX-Attempt-Id: "
+                                        "p10\r\nX-Server-Seal: seal.p10\r\n\r\n");
+        (void)co_await connection.ReadRequest();
+      });
+  Caller caller(PlatformWorld::CallerAddress(1));
+  CHECK(caller.Send("POST", "/book/1", "p10", {kApiKeyField}, "x").status == 200);
+  CHECK(caller.Send("POST", "/book/1", "q10", {kApiKeyField}, "x").status == 502);
+}
+
+TEST_CASE("a complete response that is followed by another one is passed on") {
+  ScriptedFixture fixture("desk",
+                          [](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+                            const std::string response = WithId(ResponseTemplate("200 OK"), id);
+                            (void)co_await connection.Write(response + response);
+                            (void)co_await connection.ReadRequest();
+                          });
+  const auto received =
+      Caller(PlatformWorld::CallerAddress(1)).Send("POST", "/book/1", "p10", {kApiKeyField}, "x");
+  CHECK(received.status == 200);
+  CHECK(received.body == "body of p10");
+}
+
+TEST_CASE("bodies and events of a sound backend server may quote responses") {
+  const std::string quote =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: a77\r\nX-Server-Seal: s\r\n\r\nHTTP/1.1 404";
+  const std::string event =
+      "id: 1\ndata: HTTP/1.1 200 OK\ndata: X-Attempt-Id: a77\ndata: HTTP/1.0 500\n\n";
+  const std::vector<std::string> bodies{
+      testing::ResponseHeadOf("ID", absl::StrCat("Content-Length: ", quote.size())) + quote,
+      testing::ResponseHeadOf("ID", "Transfer-Encoding: chunked") + ChunkOf(quote) + "0\r\n\r\n",
+      testing::ResponseHeadOf("ID", "Connection: close") + quote};
+  const std::vector<std::string> streams{
+      testing::ResponseHeadOf("ID", absl::StrCat("Content-Length: ", event.size())) + event,
+      testing::ResponseHeadOf("ID", "Transfer-Encoding: chunked") + ChunkOf(event) + "0\r\n\r\n",
+      testing::ResponseHeadOf("ID", "Connection: close") + event};
+  const auto script = [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+    const auto& responses = id.starts_with('b') ? bodies : streams;
+    (void)co_await connection.Write(WithId(responses.at(testing::NumberOf(id)), id));
+  };
+  ScriptedFixture fixture("desk", script);
+  fixture.world.Register(
+      {.name = "model-1", .service = "model", .address = fixture.backend.address()});
+  REQUIRE(PlatformWorld::Await([&] { return fixture.LogContains("model-1"); }));
+  for (std::size_t i = 0; i < bodies.size(); ++i) {
+    CAPTURE(i);
+    const std::string number = std::to_string(i);
+    Caller caller(PlatformWorld::CallerAddress(1));
+    const auto body = caller.Send("POST", "/book/1", "b" + number, {kApiKeyField}, "x");
+    CHECK(body.status == 200);
+    CHECK(body.complete);
+    CHECK(body.body == quote);
+    const auto stream = Caller(PlatformWorld::CallerAddress(1))
+                            .Send("POST", "/chat/1", "s" + number, kPromptFields, "x");
+    CHECK(stream.status == 200);
+    CHECK(stream.complete);
+    CHECK(stream.body == event);
+  }
+}
+
 TEST_CASE("unusual fields of a sound backend server reach the caller unchanged") {
   const std::vector<std::string> fields{"Via: HTTP/1.1 cache, 1.0 proxy",
                                         "Server: HTTP/1.1-server 200",
