Check fetched responses and those to agents' calls for a second response

A response that broke off was completed by the next one; an agent's call whose late 429 broke off in its head counted as not run although it had run.

Fetch returns DataLoss, an agent's call ends as unknown. Each of these connections carries one request, so that the server must send both responses to it.

Test: response_check_test, which breaks off the first response at each byte. A complete response that is followed by another one, and a body that quotes a status line, are passed on.

--- a/packages/backend/src/http_backend.cc
+++ b/packages/backend/src/http_backend.cc
@@ -15,6 +15,7 @@
 #include "lagoonwind/backend.h"
 #include "lagoonwind/base.h"
 #include "lagoonwind/limits.h"
+#include "lagoonwind/response_check.h"
 
 namespace lagoonwind::backend {
 namespace {
@@ -272,7 +273,7 @@
     Parser parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     co_await beast::http::async_read_header(stream, buffer, parser, Redirect(error));
-    if (error) {
+    if (error || !http::CheckSingleHead(parser.get()).ok()) {
       co_return CallResult::kUnknown;
     }
     const unsigned status = parser.get().result_int();
@@ -291,6 +292,7 @@
     const auto counter =
         MakeTokenCounter(kind_, ToString(parser.get()[beast::http::field::content_type]));
     std::string data(kReadBufferBytes, '\0');
+    http::BodyScanner scanner;
     ErrorCode error;
     while (!parser.is_done()) {
       parser.get().body().data = data.data();
@@ -302,12 +304,19 @@
       const std::string_view chunk(data.data(), data.size() - parser.get().body().size);
       if (!chunk.empty()) {
         watchdog.ExtendDeadline(timeouts_.stall);
+        scanner.Append(chunk);
         sink.OnData(chunk, counter->Count(chunk));
       }
       if (sink.cancelled()) {
         co_return CallResult::kCancelled;
       }
     }
+    const auto surplus = buffer.data();
+    const bool has_length = !parser.chunked() && !parser.need_eof();
+    if (has_length &&
+        scanner.IsFilledUp({static_cast<const char*>(surplus.data()), surplus.size()})) {
+      co_return CallResult::kUnknown;
+    }
     const bool is_complete = !parser.need_eof() || counter->at_end();
     co_return is_complete ? CallResult::kComplete : CallResult::kUnframed;
   }
--- a/packages/http/include/lagoonwind/http.h
+++ b/packages/http/include/lagoonwind/http.h
@@ -82,7 +82,8 @@
 /// \param timeout  For the whole exchange, including the connect.
 /// \return Unavailable if the connect failed, so that nothing was sent. DeadlineExceeded on a
 ///         time-out, also of the connect. Aborted if the exchange failed after the connect; the
-///         server may then have received the request. InvalidArgument if `address` is malformed.
+///         server may then have received the request. DataLoss if the bytes received seem to come
+///         from two responses. InvalidArgument if `address` is malformed.
 asio::awaitable<absl::StatusOr<Response>> Fetch(std::string address, Request request,
                                                 std::chrono::milliseconds timeout);
 
--- a/packages/http/src/http.cc
+++ b/packages/http/src/http.cc
@@ -15,6 +15,7 @@
 #include <memory>
 
 #include "lagoonwind/limits.h"
+#include "lagoonwind/response_check.h"
 
 namespace lagoonwind::http {
 namespace {
@@ -328,6 +329,18 @@
       delivered_bytes = body.size();
     }
   }
+  const absl::Status single = CheckSingleHead(parser.get());
+  if (!single.ok()) {
+    co_return single;
+  }
+  BodyScanner scanner;
+  scanner.Append(parser.get().body());
+  const auto surplus = buffer.data();
+  const bool has_length = !parser.chunked() && !parser.need_eof();
+  if (has_length &&
+      scanner.IsFilledUp({static_cast<const char*>(surplus.data()), surplus.size()})) {
+    co_return absl::DataLossError("a second response begins in the body and goes on behind it");
+  }
   auto in = parser.release();
   Response response{.status = in.result_int(),
                     .content_type = ToString(in[beast::http::field::content_type]),
