Close connections after a response that is malformed or joined

Cause: a joined head whose length is 0 ends the parser's message, so that the call counted as complete and its connection went back to the pool, although it doesn't keep responses apart. So did one with a response without the request's id, whose real response could still come. The next request on it could only be saved by the id of a late response.

Change: any DataLoss of a call makes its connection unusable. The search for a response head in events moves to EventSplitter, next to the bytes that it looks at.

--- a/packages/gateway/src/backend_call.cc
+++ b/packages/gateway/src/backend_call.cc
@@ -80,11 +80,12 @@
   }
   const unsigned status = head().result_int();
   if (status < kMinStatus || status > kMaxStatus) {
-    co_return absl::DataLossError(absl::StrCat("the status ", status, " is out of range"));
+    co_return RecordFault(
+        absl::DataLossError(absl::StrCat("the status ", status, " is out of range")));
   }
   auto info = DecodeHead();
   if (!info.ok()) {
-    co_return info.status();
+    co_return RecordFault(info.status());
   }
   response_info_ = *std::move(info);
   co_return absl::OkStatus();
@@ -111,7 +112,7 @@
       // connection without earlier requests are accepted.
       const bool success = head().result_int() / 100 == 2;
       if (response_info_.request_id.empty() && (success || connection_->reused)) {
-        co_return absl::DataLossError("response without the request id");
+        co_return RecordFault(absl::DataLossError("response without the request id"));
       }
       co_return absl::OkStatus();
     }
@@ -120,7 +121,12 @@
       co_return discarded;
     }
   }
-  co_return absl::DataLossError("too many responses to other requests");
+  co_return RecordFault(absl::DataLossError("too many responses to other requests"));
+}
+
+absl::Status BackendCall::RecordFault(absl::Status error) {
+  is_faulty_ = is_faulty_ || absl::IsDataLoss(error);
+  return error;
 }
 
 absl::Status BackendCall::CheckMemory() const {
@@ -178,10 +184,9 @@
   }
   if (parser_->chunked()) {
     // The parser adds trailers to the fields of the head.
-    const absl::Status single = DecodeHead().status();
+    absl::Status single = DecodeHead().status();
     if (!single.ok()) {
-      responses_joined_ = true;
-      co_return single;
+      co_return RecordFault(std::move(single));
     }
   }
   if (parser_->need_eof() && !connection_->written) {
@@ -202,10 +207,9 @@
       co_return count.status();
     }
     if (*count == 0) {
-      const absl::Status single = co_await CheckBody(body, scanner);
+      absl::Status single = co_await CheckBody(body, scanner);
       if (!single.ok()) {
-        responses_joined_ = true;
-        co_return single;
+        co_return RecordFault(std::move(single));
       }
       co_return body;
     }
@@ -270,7 +274,7 @@
 }
 
 bool BackendCall::reusable() const {
-  return connection_->written && !responses_joined_ && parser_.has_value() && parser_->is_done() &&
+  return connection_->written && !is_faulty_ && parser_.has_value() && parser_->is_done() &&
          parser_->keep_alive() && connection_->buffer.size() == 0;
 }
 
--- a/packages/gateway/src/backend_call.h
+++ b/packages/gateway/src/backend_call.h
@@ -58,6 +58,8 @@
   asio::awaitable<absl::Status> ReadNextHead();
   /// \return DataLoss if the head is not that of one response.
   [[nodiscard]] absl::StatusOr<ResponseInfo> DecodeHead() const;
+  /// Marks the connection as faulty if the error is DataLoss. \return The error.
+  absl::Status RecordFault(absl::Status error);
   /// Checks that a whole body comes from one response.
   asio::awaitable<absl::Status> CheckBody(std::string_view body,
                                           const lagoonwind::http::BodyScanner& scanner);
@@ -75,8 +77,9 @@
   std::string previous_request_id_;
   std::optional<Parser> parser_;
   ResponseInfo response_info_;
-  /// True if the connection doesn't keep responses apart.
-  bool responses_joined_ = false;
+  /// True if the connection had a response that is malformed or that may consist of several, so
+  /// that the next one could be misread.
+  bool is_faulty_ = false;
   std::function<bool(std::size_t)> may_hold_;
   /// Memory of the part of the body that ReadBody() has read.
   std::size_t held_body_bytes_ = 0;
--- a/packages/gateway/src/event_splitter.cc
+++ b/packages/gateway/src/event_splitter.cc
@@ -4,6 +4,8 @@
 #include <initializer_list>
 #include <utility>
 
+#include "lagoonwind/response_check.h"
+
 namespace lagoonwind::gateway {
 namespace {
 
@@ -49,6 +51,14 @@
   return events;
 }
 
+bool EventSplitter::HoldsResponseHead(std::string_view bytes, std::string_view id_field) const {
+  if (!http::MayHoldStatusLine(bytes) && !http::MayHoldStatusLine(pending_)) {
+    return false;
+  }
+  const std::string text = std::string(pending_).append(bytes);
+  return !http::FindFieldInHeads(text, id_field).empty();
+}
+
 bool EventSplitter::inside_event() const {
   return pending_.find_first_not_of(kLineEnds) != std::string::npos;
 }
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -11,6 +11,10 @@
   /// Appends bytes of the stream.
   /// \return Events completed by these bytes, including their separators; empty if none.
   std::string Append(std::string_view bytes);
+  /// True if the stream, continued by `bytes`, has a response head inside an event: a status line
+  /// and the field `id_field`. Text of an event can quote a head, but then each of its lines
+  /// follows the name of a field.
+  [[nodiscard]] bool HoldsResponseHead(std::string_view bytes, std::string_view id_field) const;
   /// Bytes after the last complete event.
   [[nodiscard]] std::string_view remainder() const { return pending_; }
   /// True if the stream has been broken off, if it ends here: its last event is not complete.
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -122,8 +122,6 @@
   }
   asio::awaitable<AttemptResult> RelayStream(BackendCall& call, const BackendServer& server);
   asio::awaitable<AttemptResult> BufferResponse(BackendCall& call, const BackendServer& server);
-  /// True if the stream, continued by the bytes `received`, has a response head inside an event.
-  [[nodiscard]] bool HoldsResponseHead(std::string_view received) const;
   asio::awaitable<bool> WriteEvents(BackendCall& call, std::string_view bytes);
   [[nodiscard]] AttemptResult ResponseInterrupted(const absl::Status& status,
                                                   const BackendServer& server);
--- a/packages/gateway/src/exchange_attempt.cc
+++ b/packages/gateway/src/exchange_attempt.cc
@@ -10,7 +10,6 @@
 
 #include "clock.h"
 #include "exchange.h"
-#include "lagoonwind/response_check.h"
 #include "retry_rules.h"
 
 namespace lagoonwind::gateway {
@@ -349,16 +348,6 @@
   co_return co_await writer_.WriteBodyChunk(bytes);
 }
 
-bool Exchange::HoldsResponseHead(std::string_view received) const {
-  const std::string_view pending = events_.remainder();
-  if (!http::MayHoldStatusLine(received) && !http::MayHoldStatusLine(pending)) {
-    return false;
-  }
-  // Text of an event can quote a head, but then each of its lines follows the name of a field.
-  const std::string event = std::string(pending).append(received);
-  return !http::FindFieldInHeads(event, context_.headers.request_id_field()).empty();
-}
-
 asio::awaitable<Exchange::AttemptResult> Exchange::RelayStream(BackendCall& call,
                                                                const BackendServer& server) {
   const bool ends_with_connection = call.framing().kind == BodyFraming::Kind::kUntilClose;
@@ -385,7 +374,7 @@
       complete_events = std::string(events_.remainder());
     } else {
       const std::string_view received(chunk->data(), *count);
-      if (HoldsResponseHead(received)) {
+      if (events_.HoldsResponseHead(received, context_.headers.request_id_field())) {
         const AttemptResult result = ResponseInterrupted(
             absl::DataLossError("an event holds the head of another response"), server);
         events_.DiscardRemainder();
--- a/tests/end_to_end/joined_response_test.cc
+++ b/tests/end_to_end/joined_response_test.cc
@@ -114,6 +114,25 @@
   }
 }
 
+TEST_CASE("a connection with joined responses isn't used again") {
+  std::atomic<int> connections = 0;
+  ScriptedFixture fixture(
+      "desk", [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
+        ++connections;
+        // The second head ends both responses.
+        (void)co_await connection.Write(
+            WithId("HTTP/1.1 500 Error\r\nX-Attempt-Id: ID\r\nX-Note: aHTTP/1.1 200 OK\r\n"
+                   "X-Server-Seal: s\r\nKeep-Alive: timeout=20\r\nContent-Length: 0\r\n\r\n",
+                   id));
+        (void)co_await connection.ReadRequest();
+      });
+  for (const char* id : {"p10", "p11"}) {
+    Caller caller(PlatformWorld::CallerAddress(1));
+    CHECK(caller.Send("POST", "/book/1", id, {kApiKeyField}, "x").status == 502);
+  }
+  CHECK(connections == 2);
+}
+
 TEST_CASE("a first response that breaks off in its head isn't completed by a second copy") {
   const std::string response = ResponseTemplate("200 OK");
   std::atomic<std::size_t> cut = 0;
