--- a/tests/unit/http_test.cc
+++ b/tests/unit/http_test.cc
@@ -9,12 +9,14 @@
 #include "fleet.h"
 #include "lagoonwind/backend.h"
 #include "lagoonwind/platform.h"
+#include "run_to_completion.h"
 #include "standin.h"
 
 namespace lagoonwind {
 namespace {
 
 namespace asio = http::asio;
+using testing::RunToCompletion;
 
 /// Serves a stand-in over HTTP on its own thread.
 class StandInServer {
@@ -45,17 +47,6 @@
   std::jthread thread_;
 };
 
-/// Runs a coroutine on a new event loop and returns its result.
-template <class T>
-T RunToCompletion(asio::awaitable<T> operation) {
-  asio::io_context io;
-  std::optional<T> result;
-  asio::co_spawn(io, std::move(operation),
-                 [&](const std::exception_ptr&, T value) { result.emplace(std::move(value)); });
-  io.run();
-  return *std::move(result);
-}
-
 TEST_CASE("malformed addresses are rejected, and query parameters are decoded") {
   CHECK(http::ParseEndpoint("127.0.0.1:80").ok());
   for (const auto* malformed :
--- a/tests/unit/response_check_test.cc
+++ b/tests/unit/response_check_test.cc
@@ -3,22 +3,22 @@
 #include <absl/status/statusor.h>
 #include <doctest/doctest.h>
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
-#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "lagoonwind/backend.h"
 #include "lagoonwind/http.h"
+#include "run_to_completion.h"
 
 namespace lagoonwind {
 namespace {
 
 namespace asio = http::asio;
+using testing::RunToCompletion;
 using Values = std::vector<std::string_view>;
 
 /// Server of one connection, which responds to a request with the given bytes.
@@ -44,16 +44,6 @@
   std::jthread thread_;
 };
 
-template <class T>
-T RunToCompletion(asio::awaitable<T> operation) {
-  asio::io_context io;
-  std::optional<T> result;
-  asio::co_spawn(io, std::move(operation),
-                 [&](const std::exception_ptr&, T value) { result.emplace(std::move(value)); });
-  io.run();
-  return *std::move(result);
-}
-
 absl::StatusOr<http::Response> FetchFrom(const std::string& response) {
   OneResponseServer server(response);
   return RunToCompletion(
