--- a/tests/end_to_end/joined_response_test.cc
+++ b/tests/end_to_end/joined_response_test.cc
@@ -247,8 +247,8 @@
           id = co_await connection.ReadRequest();
           if (!id.empty()) {
             std::string text = testing::ResponseHeadOf(id, framing);
-            absl::StrAppend(&text, is_chunked ? "fff\r\n" : "");
-            (void)co_await connection.Write(text + events.substr(0, cut) + earlier);
+            absl::StrAppend(&text, is_chunked ? "fff\r\n" : "", events.substr(0, cut), earlier);
+            (void)co_await connection.Write(text);
             co_await connection.Wait(milliseconds(20));
           }
         });
