--- a/tests/end_to_end/joined_response_test.cc
+++ b/tests/end_to_end/joined_response_test.cc
@@ -114,6 +114,7 @@
   }
 }
 
+// Guards against sending the next request on a connection that does not keep responses apart.
 TEST_CASE("a connection with joined responses isn't used again") {
   std::atomic<int> connections = 0;
   ScriptedFixture fixture(
@@ -133,6 +134,7 @@
   CHECK(connections == 2);
 }
 
+// Guards against a response whose fields come from its two copies.
 TEST_CASE("a first response that breaks off in its head isn't completed by a second copy") {
   const std::string response = ResponseTemplate("200 OK");
   std::atomic<std::size_t> cut = 0;
@@ -168,6 +170,7 @@
   }));
 }
 
+// Guards against a body that the head or body of the response to another request completes.
 TEST_CASE("a body that breaks off isn't filled up by a copy of the response before") {
   const std::string response = ResponseTemplate("200 OK");
   std::atomic<std::size_t> cut = 0;
@@ -207,6 +210,7 @@
   CHECK(caller.Send("POST", "/book/1", "q99", {kApiKeyField}, "x").status == 502);
 }
 
+// Guards against a body that goes on with the response to another request until the end.
 TEST_CASE("a body without framing doesn't take in a copy of the response before") {
   std::atomic<bool> breaks_off = true;
   ScriptedFixture fixture(
@@ -229,6 +233,7 @@
   }
 }
 
+// Guards against forwarding another response's head and events within a stream.
 TEST_CASE("a stream that breaks off doesn't take in events of the response before") {
   const std::string events = EventOf(1) + EventOf(2) + EventOf(3) + EventOf(4);
   // One chunk or a stated length for all events, and neither.
@@ -265,6 +270,7 @@
   }
 }
 
+// Guards against fields of another response that reach the caller as trailers.
 TEST_CASE("trailers aren't completed by the head of another response") {
   ScriptedFixture fixture(
       "desk", [&](RawConnection& connection, std::string id) -> asio::awaitable<void> {
